--- /dev/null
+++ b/cli/src/main/kotlin/org/guavahatch/cli/Commands.kt
@@ -0,0 +1,43 @@
+package org.guavahatch.cli
+
+import org.guavahatch.cli.command.CheckCommand
+import org.guavahatch.cli.command.ClaimsCommand
+import org.guavahatch.cli.command.Command
+import org.guavahatch.cli.command.DiffCommand
+import org.guavahatch.cli.command.DrainCommand
+import org.guavahatch.cli.command.HashKeyCommand
+import org.guavahatch.cli.command.HistoryCommand
+import org.guavahatch.cli.command.PublishCommand
+import org.guavahatch.cli.command.RollbackCommand
+import org.guavahatch.cli.command.ShowCommand
+import org.guavahatch.cli.command.StatusCommand
+import org.guavahatch.cli.command.UndrainCommand
+import org.guavahatch.cli.load.LoadCommand
+import org.guavahatch.cli.report.ReportCommand
+
+/** The commands of `guavahatch` by name. */
+internal object Commands {
+    private class Entry(val summary: String, val create: () -> Command)
+
+    private val entries = linkedMapOf(
+        "check" to Entry("checks a configuration file") { CheckCommand() },
+        "diff" to Entry("shows what a file would change") { DiffCommand() },
+        "publish" to Entry("publishes a configuration file") { PublishCommand() },
+        "show" to Entry("shows an accepted configuration") { ShowCommand() },
+        "history" to Entry("lists accepted configurations") { HistoryCommand() },
+        "rollback" to Entry("publishes the content of an earlier configuration again") { RollbackCommand() },
+        "drain" to Entry("takes an endpoint out of service") { DrainCommand() },
+        "undrain" to Entry("puts an endpoint back into service") { UndrainCommand() },
+        "status" to Entry("shows what processes have in force") { StatusCommand() },
+        "claims" to Entry("lists claims without an outcome") { ClaimsCommand() },
+        "hash-key" to Entry("hashes a client key for the configuration") { HashKeyCommand() },
+        "load" to Entry("sends a load and measures the answers") { LoadCommand() },
+        "report" to Entry("reports service-level burn from a load's result") { ReportCommand() },
+    )
+
+    /** Name and summary of each command. */
+    val summaries: Map<String, String> get() = entries.mapValues { it.value.summary }
+
+    /** A new command, or null if there is none with the name. */
+    fun create(name: String): Command? = entries[name]?.create?.invoke()
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/HistoryCommand.kt
@@ -0,0 +1,14 @@
+package org.guavahatch.cli.command
+
+import java.time.Instant
+
+/** Lists the accepted configurations: when, who, why. */
+internal class HistoryCommand : PlatformCommand() {
+    override suspend fun run(platform: PlatformAccess): Int =
+        whenAvailable(platform.store.history()) { publications ->
+            publications.forEach {
+                println("${it.version}  ${Instant.ofEpochMilli(it.atMilliseconds)}  ${it.publisher}  ${it.comment}")
+            }
+            Command.EXIT_OK
+        }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
@@ -0,0 +1,95 @@
+package org.guavahatch.cli.command
+
+import arrow.core.Either
+import kotlinx.coroutines.runBlocking
+import org.guavahatch.model.configuration.ConfigurationDifference
+import org.guavahatch.model.configuration.ConfigurationReader
+import org.guavahatch.model.configuration.ConfigurationSet
+import org.guavahatch.model.configuration.ConfigurationVersion
+import org.guavahatch.model.time.SystemClock
+import org.guavahatch.platform.http.HttpObjectStore
+import org.guavahatch.platform.http.HttpTableService
+import org.guavahatch.platform.http.PlatformClient
+import org.guavahatch.platform.publication.ConfigurationPublisher
+import org.guavahatch.platform.publication.ConfigurationStore
+import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.platform.store.TableService
+import org.kohsuke.args4j.Option
+
+/** What a command works with at the platform. */
+internal class PlatformAccess(
+    val table: TableService,
+    val store: ConfigurationStore,
+    val publisher: ConfigurationPublisher,
+)
+
+/** A command that works with the platform's services. */
+internal abstract class PlatformCommand : Command {
+    @Option(name = "--platform", required = true, metaVar = "URL", usage = "address of the platform's services")
+    private var platformUrl: String = ""
+
+    @Option(name = "--settle-for", metaVar = "SECONDS", usage = "how long lost answers are settled, default 30")
+    private var settleSeconds: Long = 30
+
+    /** Does the work. */
+    abstract suspend fun run(platform: PlatformAccess): Int
+
+    override fun run(): Int = PlatformClient(platformUrl).use { client ->
+        val table = HttpTableService(client)
+        val objects = HttpObjectStore(client)
+        val settle = settleSeconds * MILLISECONDS_PER_SECOND
+        val publisher = ConfigurationPublisher(table, objects, SystemClock, settle)
+        runBlocking { run(PlatformAccess(table, ConfigurationStore(table, objects), publisher)) }
+    }
+
+    /** Continues with the value of [result], or tells the error. */
+    protected suspend fun <T> whenAvailable(result: Either<PlatformError, T>, proceed: suspend (T) -> Int): Int =
+        when (result) {
+            is Either.Right -> proceed(result.value)
+            is Either.Left -> {
+                val error = result.value
+                System.err.println("guavahatch: ${error.step} at ${error.peer}: ${error.detail}")
+                Command.EXIT_UNAVAILABLE
+            }
+        }
+
+    /** Prints what [text] would change in the configuration that was accepted last. */
+    protected suspend fun showDifference(platform: PlatformAccess, source: String, text: String): Int =
+        ConfigurationReader.read(source, text).fold(
+            { error ->
+                System.err.println(error)
+                Command.EXIT_USAGE
+            },
+            { newer ->
+                whenAvailable(platform.store.head()) { head ->
+                    whenAvailable(readSet(platform, head?.publication?.version)) { older ->
+                        printDifference(older, newer)
+                    }
+                }
+            },
+        )
+
+    private suspend fun readSet(
+        platform: PlatformAccess,
+        version: ConfigurationVersion?,
+    ): Either<PlatformError, ConfigurationSet?> =
+        if (version == null) {
+            Either.Right(null)
+        } else {
+            platform.store.text(version).map { text ->
+                text?.let { ConfigurationReader.read(version.toString(), it).getOrNull() }
+            }
+        }
+
+    private fun printDifference(older: ConfigurationSet?, newer: ConfigurationSet): Int {
+        val nothing = ConfigurationSet(emptyList(), emptyList(), emptyList(), emptyList())
+        val differences = ConfigurationDifference.between(older ?: nothing, newer)
+        if (differences.isEmpty()) println("no difference")
+        differences.forEach(::println)
+        return Command.EXIT_OK
+    }
+
+    private companion object {
+        const val MILLISECONDS_PER_SECOND = 1000L
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/PublishingCommand.kt
@@ -0,0 +1,59 @@
+package org.guavahatch.cli.command
+
+import org.guavahatch.model.configuration.ConfigurationVersion
+import org.guavahatch.platform.publication.PublicationRequest
+import org.guavahatch.platform.publication.PublicationResult
+import org.kohsuke.args4j.Option
+import java.util.UUID
+
+/** A command that publishes a configuration. */
+internal abstract class PublishingCommand : PlatformCommand() {
+    @Option(name = "--publisher", metaVar = "NAME", usage = "who publishes, default the user's name")
+    private var publisher: String = System.getProperty("user.name").orEmpty()
+
+    @Option(name = "--comment", metaVar = "TEXT", usage = "why, for the history")
+    private var comment: String = ""
+
+    @Option(name = "--publication-id", metaVar = "ID", usage = "id of an earlier try whose result was unknown")
+    private var publicationId: String = UUID.randomUUID().toString()
+
+    /** Publishes [text], made from [base]. */
+    protected suspend fun publish(
+        platform: PlatformAccess,
+        source: String,
+        text: String,
+        base: ConfigurationVersion,
+        defaultComment: String = "",
+    ): Int {
+        val reason = comment.ifEmpty { defaultComment }
+        val request = PublicationRequest(source, text, base, publicationId, publisher, reason)
+        return tell(platform.publisher.publish(request))
+    }
+
+    private fun tell(result: PublicationResult): Int = when (result) {
+        is PublicationResult.Accepted -> {
+            println("accepted: version ${result.publication.version}")
+            Command.EXIT_OK
+        }
+        is PublicationResult.Conflict -> {
+            val head = result.head
+            System.err.println("conflict: version ${head.version} was published by ${head.publisher}: ${head.comment}")
+            result.differences.forEach { System.err.println("  $it") }
+            Command.EXIT_REFUSED
+        }
+        is PublicationResult.Invalid -> {
+            System.err.println(result.error)
+            Command.EXIT_USAGE
+        }
+        is PublicationResult.NotPublished -> {
+            System.err.println("not published: ${result.error.step} at ${result.error.peer}: ${result.error.detail}")
+            Command.EXIT_UNAVAILABLE
+        }
+        is PublicationResult.Unknown -> {
+            System.err.println(
+                "unknown: ${result.error.detail} Repeat the command with --publication-id ${result.publicationId}.",
+            )
+            Command.EXIT_UNKNOWN
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerServer.kt
@@ -0,0 +1,131 @@
+package org.guavahatch.daemon.entry
+
+import arrow.core.Either
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.application.install
+import io.ktor.server.cio.CIO
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.response.header
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import kotlinx.coroutines.CancellationException
+import org.guavahatch.daemon.observation.DaemonCounter
+import org.guavahatch.daemon.observation.DaemonMetrics
+import org.guavahatch.daemon.settings.EntrySettings
+import org.guavahatch.model.outcome.NotRunReason
+import org.guavahatch.model.outcome.Outcome
+import org.guavahatch.model.time.Clock
+import org.guavahatch.platform.publication.AppliedConfiguration
+import org.guavahatch.platform.publication.InForce
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Serves callers by HTTP. */
+internal class CallerServer(
+    settings: EntrySettings,
+    private val applied: AppliedConfiguration,
+    private val exchanges: Exchanges,
+    private val specifications: SpecificationBuilder,
+    private val control: EntryControl,
+    private val freshness: ConfigurationFreshness,
+    private val clock: Clock,
+    private val metrics: DaemonMetrics,
+) {
+    private val reader = CallerRequestReader(settings.maximumHeaderBytes)
+    private val gate = AccountGate()
+    private val open = AtomicInteger()
+
+    /** Set when the process stops: callers are asked to close their connections. */
+    @Volatile
+    var isClosing = false
+
+    /** Calls that are being answered. */
+    val openCalls: Int get() = open.get()
+
+    private val server: EmbeddedServer<*, *> =
+        embeddedServer(CIO, port = settings.callerPort, host = settings.host) {
+            install(HttpRequestLifecycle) { cancelCallOnClose = true }
+            routing { route("{...}") { handle { serve(call) } } }
+        }
+
+    fun start() {
+        server.start(wait = false)
+    }
+
+    fun stop() {
+        server.stop(gracePeriodMillis = 0, timeoutMillis = STOP_MILLISECONDS)
+    }
+
+    private suspend fun serve(call: ApplicationCall) {
+        open.incrementAndGet()
+        try {
+            if (isClosing) call.response.header(HttpHeaders.Connection, "close")
+            freshness.awaitFresh()
+            val inForce = applied.inForce
+            if (inForce == null) refuse(call, CallerError.NotReady()) else serve(call, inForce)
+        } finally {
+            open.decrementAndGet()
+        }
+    }
+
+    private suspend fun serve(call: ApplicationCall, inForce: InForce) {
+        when (val read = reader.read(call, inForce)) {
+            is Either.Left -> refuse(call, read.value)
+            is Either.Right -> admit(call, read.value)
+        }
+    }
+
+    private suspend fun refuse(call: ApplicationCall, error: CallerError) {
+        metrics.count(DaemonCounter.REFUSED_REQUESTS, error.code)
+        if (error.status == HttpStatusCode.PayloadTooLarge) call.response.header(HttpHeaders.Connection, "close")
+        CallerErrors.respond(call, error.status, error.code, error.message)
+    }
+
+    private suspend fun admit(call: ApplicationCall, plan: RequestPlan) {
+        val exchange = exchanges.open(plan, clock.monotonicMilliseconds())
+        if (!gate.tryEnter(plan.account)) {
+            exchanges.close(exchange.requestId)
+            exchange.conclude(Outcome.NotRun(NotRunReason.ACCOUNT_LIMIT, ACCOUNT_RETRY_MILLISECONDS))
+            finish(exchange, CallerAnswer(call, exchange).send())
+            return
+        }
+        try {
+            control.submit(specifications.build(exchange))
+            finish(exchange, answer(call, exchange))
+        } finally {
+            gate.leave(plan.account)
+        }
+    }
+
+    private suspend fun answer(call: ApplicationCall, exchange: Exchange): Outcome =
+        try {
+            CallerAnswer(call, exchange).send()
+        } catch (exception: CancellationException) {
+            control.onCallerGone(exchange.requestId)
+            throw exception
+        } catch (exception: Exception) {
+            control.onCallerGone(exchange.requestId)
+            throw exception
+        }
+
+    private fun finish(exchange: Exchange, outcome: Outcome) {
+        val plan = exchange.plan
+        val reason = when (outcome) {
+            Outcome.Answered -> ""
+            is Outcome.NotRun -> outcome.reason.code
+            is Outcome.Unknown -> outcome.reason.code
+        }
+        metrics.count(DaemonCounter.REQUESTS, plan.route.name, plan.tier.name, outcome.code, reason)
+        val duration = clock.monotonicMilliseconds() - exchange.acceptedMilliseconds
+        metrics.requestDuration(plan.route.name, plan.tier.name, duration)
+        if (outcome == Outcome.Answered) specifications.learn(exchange)
+    }
+
+    private companion object {
+        const val STOP_MILLISECONDS = 1000L
+        const val ACCOUNT_RETRY_MILLISECONDS = 1000L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryProcess.kt
@@ -0,0 +1,116 @@
+package org.guavahatch.daemon.entry
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import org.guavahatch.daemon.configuration.ConfigurationWatcher
+import org.guavahatch.daemon.control.ControlThread
+import org.guavahatch.daemon.observation.AdminServer
+import org.guavahatch.daemon.observation.DaemonMetrics
+import org.guavahatch.daemon.observation.ProcessStatus
+import org.guavahatch.daemon.settings.EntrySettings
+import org.guavahatch.daemon.transport.Handshake
+import org.guavahatch.daemon.transport.KeyRing
+import org.guavahatch.model.identity.Incarnation
+import org.guavahatch.model.time.Clock
+import org.guavahatch.platform.claim.ClaimKeeper
+import org.guavahatch.platform.claim.ClaimSettings
+import org.guavahatch.platform.http.HttpInstanceList
+import org.guavahatch.platform.http.HttpObjectStore
+import org.guavahatch.platform.http.HttpTableService
+import org.guavahatch.platform.http.PlatformClient
+import org.guavahatch.platform.publication.AppliedConfiguration
+import org.guavahatch.platform.publication.ConfigurationStore
+import org.guavahatch.scheduling.choice.ExpectedCompletionChooser
+import org.guavahatch.scheduling.dispatch.RequestDispatcher
+import org.tinylog.kotlin.Logger
+import kotlin.random.Random
+
+/** A running entry instance. */
+internal class EntryProcess(
+    private val settings: EntrySettings,
+    private val incarnation: Incarnation,
+    private val clock: Clock,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val metrics = DaemonMetrics()
+    private val controlThread = ControlThread(clock)
+    private val applied = AppliedConfiguration()
+    private val platform = PlatformClient(settings.platformUrl, settings.platformTimeoutMilliseconds)
+    private val table = HttpTableService(platform)
+    private val store = ConfigurationStore(table, HttpObjectStore(platform))
+    private val exchanges = Exchanges(incarnation)
+    private val dispatcher =
+        RequestDispatcher(ExpectedCompletionChooser(), exchanges, Random(incarnation.value.hashCode()))
+    private val control =
+        EntryControl(settings, incarnation, dispatcher, controlThread, clock, exchanges, applied, metrics)
+    private val watcher =
+        ConfigurationWatcher(store, applied, metrics, settings.configurationPollMilliseconds) {
+            control.onConfiguration(it.set)
+        }
+    private val keeper = ClaimKeeper(table, clock, incarnation.value, ClaimSettings(), scope)
+    private val claims = ClaimCoordinator(keeper, metrics, scope, control)
+    private val handshake = Handshake(KeyRing(settings.sharedKeys), settings.silenceMilliseconds)
+    private val instances = HttpInstanceList(platform, settings.deployment)
+    private val links = SidecarLinks(settings, instances, handshake, clock, metrics, scope, control)
+    private val freshness = ConfigurationFreshness(watcher, clock, 2 * settings.heartbeatMilliseconds)
+    private val callers =
+        CallerServer(settings, applied, exchanges, SpecificationBuilder(), control, freshness, clock, metrics)
+    private val admin = AdminServer(settings.host, settings.adminPort, metrics, ::isReady, ::status)
+
+    @Volatile
+    private var isStopping = false
+
+    suspend fun start() {
+        control.links = links
+        control.claims = claims
+        control.watcher = watcher
+        control.start()
+        controlThread.every(DRAIN_CHECK_MILLISECONDS) { applied.inForce?.let { control.onConfiguration(it.set) } }
+        watcher.start(scope)
+        links.start()
+        freshness.start(scope)
+        callers.start()
+        admin.start()
+        Logger.info("event=started role=entry name={} incarnation={}", settings.name, incarnation)
+    }
+
+    private fun isReady() = !isStopping && applied.inForce != null && links.all.any { it.isUp }
+
+    private suspend fun status() = ProcessStatus(
+        name = settings.name,
+        role = "entry",
+        incarnation = incarnation.value,
+        isReady = isReady(),
+        configuration = applied.version.number,
+        contentHash = applied.version.contentHash,
+        requests = controlThread.call { dispatcher.heldRequests },
+        peers = links.all.filter { it.isUp }.map { it.instance.name }.sorted(),
+    )
+
+    /** Stops gracefully: fails readiness, serves what still comes for a while, and finishes all requests. */
+    suspend fun stop() {
+        isStopping = true
+        callers.isClosing = true
+        Logger.info("event=leaving role=entry name={}", settings.name)
+        delay(settings.readinessMilliseconds)
+        val until = clock.monotonicMilliseconds() + settings.stopMilliseconds
+        while (isBusy() && clock.monotonicMilliseconds() < until) delay(POLL_MILLISECONDS)
+        Logger.info("event=stopped role=entry name={} unfinished={}", settings.name, callers.openCalls)
+        callers.stop()
+        admin.stop()
+        scope.cancel()
+        platform.close()
+        controlThread.close()
+    }
+
+    private suspend fun isBusy() =
+        callers.openCalls > 0 || control.unanswered() > 0 || claims.unwrittenChanges > 0
+
+    private companion object {
+        const val DRAIN_CHECK_MILLISECONDS = 500L
+        const val POLL_MILLISECONDS = 20L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/Exchanges.kt
@@ -0,0 +1,29 @@
+package org.guavahatch.daemon.entry
+
+import org.guavahatch.model.identity.Incarnation
+import org.guavahatch.model.identity.RequestId
+import org.guavahatch.scheduling.dispatch.DeliveredAnswers
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** The requests that an entry instance holds. */
+internal class Exchanges(private val incarnation: Incarnation) : DeliveredAnswers {
+    private val byId = ConcurrentHashMap<RequestId, Exchange>()
+    private val lastSequence = AtomicLong()
+
+    val size: Int get() = byId.size
+
+    operator fun get(requestId: RequestId): Exchange? = byId[requestId]
+
+    /** Opens an exchange under a new id. */
+    fun open(plan: RequestPlan, nowMilliseconds: Long): Exchange {
+        val requestId = RequestId(incarnation, lastSequence.incrementAndGet())
+        return Exchange(requestId, plan, nowMilliseconds).also { byId[requestId] = it }
+    }
+
+    fun close(requestId: RequestId) {
+        byId.remove(requestId)
+    }
+
+    override fun hasDelivered(requestId: RequestId): Boolean = byId[requestId]?.hasDelivered ?: true
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLinks.kt
@@ -0,0 +1,76 @@
+package org.guavahatch.daemon.entry
+
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.guavahatch.daemon.observation.DaemonCounter
+import org.guavahatch.daemon.observation.DaemonMetrics
+import org.guavahatch.daemon.settings.EntrySettings
+import org.guavahatch.daemon.transport.Handshake
+import org.guavahatch.model.identity.EndpointId
+import org.guavahatch.model.time.Clock
+import org.guavahatch.platform.store.Instance
+import org.guavahatch.platform.store.InstanceList
+import org.guavahatch.platform.store.InstanceState
+import org.guavahatch.platform.store.PlatformError
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * The connections to all sidecars that the platform lists. While the list cannot be read, the last one is kept. An
+ * instance that the list no longer shows is kept too as long as its connection is up: the sidecar's own word counts more
+ * than the lagging list.
+ */
+internal class SidecarLinks(
+    private val settings: EntrySettings,
+    private val list: InstanceList,
+    private val handshake: Handshake,
+    private val clock: Clock,
+    private val metrics: DaemonMetrics,
+    private val scope: CoroutineScope,
+    private val listener: LinkListener,
+) {
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val links = ConcurrentHashMap<EndpointId, SidecarLink>()
+
+    /** Whether the list was read at least once. */
+    @Volatile
+    var isListed = false
+        private set
+
+    val all: Collection<SidecarLink> get() = links.values
+
+    operator fun get(endpoint: EndpointId): SidecarLink? = links[endpoint]
+
+    fun start() {
+        scope.launch {
+            while (true) {
+                list.instances().fold(::failed) { update(it) }
+                delay(settings.instancePollMilliseconds)
+            }
+        }
+    }
+
+    private fun failed(error: PlatformError) {
+        metrics.count(DaemonCounter.PLATFORM_ERRORS, error.step)
+    }
+
+    private suspend fun update(instances: List<Instance>) {
+        isListed = true
+        val wanted = instances.filter { it.state == InstanceState.LIVE }.associateBy { EndpointId(it.name) }
+        links.forEach { (endpoint, link) -> if (isObsolete(link, wanted[endpoint])) remove(endpoint, link) }
+        wanted.forEach { (endpoint, instance) -> links.computeIfAbsent(endpoint) { startLink(instance) } }
+    }
+
+    private fun isObsolete(link: SidecarLink, listed: Instance?): Boolean =
+        !link.isUp && (listed == null || listed != link.instance)
+
+    private suspend fun remove(endpoint: EndpointId, link: SidecarLink) {
+        links.remove(endpoint, link)
+        link.stop()
+    }
+
+    private fun startLink(instance: Instance): SidecarLink =
+        SidecarLink(instance, settings, handshake, selector, clock, listener, scope).also { it.start() }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EventStreamReader.kt
@@ -0,0 +1,69 @@
+package org.guavahatch.daemon.sidecar
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.LineEnding
+import io.ktor.utils.io.readLine
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/**
+ * One event of a model engine's stream.
+ *
+ * @property bytes the event as it came, with the empty line that ends it
+ * @property tokens 1 if it carries generated content, otherwise 0
+ * @property promptTokens prompt tokens that it reports, 0 if it reports none
+ * @property isLast whether it ends the stream
+ */
+internal class StreamEvent(val bytes: ByteArray, val tokens: Int, val promptTokens: Int, val isLast: Boolean)
+
+/** Splits a model engine's stream into events. */
+internal class EventStreamReader(private val input: ByteReadChannel) {
+    @Serializable
+    private data class Delta(val content: String? = null)
+
+    @Serializable
+    private data class Choice(val delta: Delta = Delta())
+
+    @Serializable
+    private data class Usage(@SerialName("prompt_tokens") val promptTokens: Int = 0)
+
+    @Serializable
+    private data class Chunk(val choices: List<Choice> = emptyList(), val usage: Usage? = null)
+
+    /** The next event, or null if the stream has ended. */
+    suspend fun next(): StreamEvent? {
+        val event = StringBuilder()
+        while (true) {
+            val line = input.readLine(LineEnding.Lenient) ?: return null
+            event.append(line).append('\n')
+            if (line.isEmpty()) return parse(event.toString())
+        }
+    }
+
+    private fun parse(event: String): StreamEvent {
+        val data = event.lineSequence().firstOrNull { it.startsWith(DATA) }?.removePrefix(DATA)?.trim().orEmpty()
+        val chunk = decode(data)
+        val hasContent = chunk?.choices?.any { !it.delta.content.isNullOrEmpty() } ?: false
+        return StreamEvent(
+            bytes = event.toByteArray(),
+            tokens = if (hasContent) 1 else 0,
+            promptTokens = chunk?.usage?.promptTokens ?: 0,
+            isLast = data == DONE,
+        )
+    }
+
+    private fun decode(data: String): Chunk? =
+        try {
+            if (data.startsWith("{")) json.decodeFromString<Chunk>(data) else null
+        } catch (_: SerializationException) {
+            null
+        }
+
+    private companion object {
+        const val DATA = "data:"
+        const val DONE = "[DONE]"
+        val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarControl.kt
@@ -0,0 +1,124 @@
+package org.guavahatch.daemon.sidecar
+
+import org.guavahatch.daemon.control.ControlThread
+import org.guavahatch.daemon.observation.DaemonCounter
+import org.guavahatch.daemon.observation.DaemonMetrics
+import org.guavahatch.daemon.transport.InnerConnection
+import org.guavahatch.model.configuration.ConfigurationSet
+import org.guavahatch.model.identity.Incarnation
+import org.guavahatch.model.identity.RequestId
+import org.guavahatch.model.time.Clock
+import org.guavahatch.protocol.message.Digest
+import org.guavahatch.protocol.message.Forgotten
+import org.guavahatch.protocol.message.Leaving
+import org.guavahatch.protocol.message.RequestMessage
+import org.guavahatch.scheduling.endpoint.EndpointEffect
+import org.guavahatch.scheduling.endpoint.EndpointLimits
+import org.guavahatch.scheduling.endpoint.EndpointScheduler
+import org.tinylog.kotlin.Logger
+
+/** Runs an [EndpointScheduler] on the control thread and performs its effects. */
+internal class SidecarControl(
+    private val scheduler: EndpointScheduler,
+    private val control: ControlThread,
+    private val clock: Clock,
+    private val connections: EntryConnections,
+    private val metrics: DaemonMetrics,
+) : ExecutionListener {
+    /** Set once before the first message; the executions report back to this object. */
+    lateinit var executions: Executions
+
+    @Volatile
+    private var latestDigest: Digest = scheduler.digest()
+
+    /** State of the endpoint after the last event. */
+    val digest: Digest get() = latestDigest
+
+    fun start() {
+        control.every(TICK_MILLISECONDS) { perform(scheduler.onTick(now())) }
+    }
+
+    /** A new connection of [entry] replaces [replaced]. */
+    fun onConnected(entry: Incarnation, replaced: InnerConnection?) {
+        if (replaced == null) return
+        replaced.close()
+        control.post { perform(scheduler.onEntryLost(entry, now())) }
+    }
+
+    /** The present connection of [entry] was lost. */
+    fun onDisconnected(entry: Incarnation) {
+        control.post {
+            if (connections[entry] == null) perform(scheduler.onEntryLost(entry, now()))
+        }
+    }
+
+    /** A message of [entry] arrived on [connection]. */
+    fun onMessage(entry: Incarnation, connection: InnerConnection, message: RequestMessage) {
+        control.post {
+            if (connections.isCurrent(entry, connection)) {
+                perform(scheduler.onMessage(entry, message, now()))
+            } else {
+                metrics.count(DaemonCounter.FRAMES_DROPPED, "old-connection")
+            }
+        }
+    }
+
+    /** Applies limits and drains of a configuration. */
+    fun onConfiguration(set: ConfigurationSet) {
+        control.post {
+            val pool = set.endpointPools.find { it.name == scheduler.pool }
+            if (pool != null) perform(scheduler.onLimits(EndpointLimits.of(pool), now()))
+            val isDrained = set.drains.any { drain ->
+                drain.pool == scheduler.pool && drain.endpoint == scheduler.endpoint.value &&
+                    drain.isInForce(clock.wallMilliseconds())
+            }
+            perform(scheduler.onDrain(isDrained, now()))
+        }
+    }
+
+    /** Refuses new work from now on, and says so to every entry instance. */
+    suspend fun leave() {
+        control.call {
+            perform(scheduler.onLeave())
+            connections.all.forEach { it.connection.send(Leaving) }
+        }
+        Logger.info("event=leaving endpoint={}", scheduler.endpoint)
+    }
+
+    /** Requests that are reserved or running, and answers that were not acknowledged. */
+    suspend fun unfinished(): Int = control.call { maxOf(scheduler.runningRequests, executions.held) }
+
+    override fun onProgress(requestId: RequestId, tokens: Int, hasFirstToken: Boolean) {
+        control.post { perform(scheduler.onProgress(requestId, tokens.toDouble(), hasFirstToken, now())) }
+    }
+
+    override fun onEnded(requestId: RequestId, wasDispatched: Boolean) {
+        control.post { perform(scheduler.onExecutionEnded(requestId, wasDispatched, now())) }
+    }
+
+    private fun perform(effects: List<EndpointEffect>) {
+        effects.forEach(::perform)
+        latestDigest = scheduler.digest()
+    }
+
+    private fun perform(effect: EndpointEffect) {
+        when (effect) {
+            is EndpointEffect.Send -> connections[effect.entry]?.send(effect.message)
+            is EndpointEffect.Execute -> executions.start(effect, connections[effect.entry])
+            is EndpointEffect.Stop -> executions.stop(effect.requestId, effect.reason)
+            is EndpointEffect.Replay -> replay(effect)
+            is EndpointEffect.Release -> executions.release(effect.requestId)
+        }
+    }
+
+    private fun replay(effect: EndpointEffect.Replay) {
+        val connection = connections[effect.requestId.entry] ?: return
+        if (!executions.replay(effect, connection)) connection.send(Forgotten(effect.requestId, effect.attempt))
+    }
+
+    private fun now() = clock.monotonicMilliseconds()
+
+    private companion object {
+        const val TICK_MILLISECONDS = 20L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarProcess.kt
@@ -0,0 +1,113 @@
+package org.guavahatch.daemon.sidecar
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import org.guavahatch.daemon.configuration.ConfigurationWatcher
+import org.guavahatch.daemon.control.ControlThread
+import org.guavahatch.daemon.observation.AdminServer
+import org.guavahatch.daemon.observation.DaemonMetrics
+import org.guavahatch.daemon.observation.ProcessStatus
+import org.guavahatch.daemon.settings.SidecarSettings
+import org.guavahatch.daemon.transport.Handshake
+import org.guavahatch.daemon.transport.KeyRing
+import org.guavahatch.model.identity.EndpointId
+import org.guavahatch.model.identity.Incarnation
+import org.guavahatch.model.time.Clock
+import org.guavahatch.platform.http.HttpObjectStore
+import org.guavahatch.platform.http.HttpTableService
+import org.guavahatch.platform.http.PlatformClient
+import org.guavahatch.platform.publication.AppliedConfiguration
+import org.guavahatch.platform.publication.ConfigurationStore
+import org.guavahatch.scheduling.endpoint.EndpointLimits
+import org.guavahatch.scheduling.endpoint.EndpointScheduler
+import org.tinylog.kotlin.Logger
+
+/** A running sidecar. */
+internal class SidecarProcess(
+    private val settings: SidecarSettings,
+    private val incarnation: Incarnation,
+    private val clock: Clock,
+) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val metrics = DaemonMetrics()
+    private val controlThread = ControlThread(clock)
+    private val connections = EntryConnections()
+    private val applied = AppliedConfiguration()
+    private val platform = PlatformClient(settings.platformUrl, settings.platformTimeoutMilliseconds)
+    private val store = ConfigurationStore(HttpTableService(platform), HttpObjectStore(platform))
+    private val scheduler =
+        EndpointScheduler(EndpointId(settings.name), settings.pool, incarnation, LIMITS_BEFORE_CONFIGURATION)
+    private val control = SidecarControl(scheduler, controlThread, clock, connections, metrics)
+    private val caller = EndpointCaller(settings.endpointUrl, settings.echoesRequestId)
+    private val executions = Executions(caller, clock, settings.answerWindowBytes, metrics, scope, control)
+    private val watcher =
+        ConfigurationWatcher(store, applied, metrics, settings.configurationPollMilliseconds) {
+            control.onConfiguration(it.set)
+        }
+    private val admin = AdminServer(settings.host, settings.adminPort, metrics, ::isReady, ::status)
+
+    @Volatile
+    private var isStopping = false
+
+    suspend fun start() {
+        control.executions = executions
+        control.start()
+        controlThread.every(DRAIN_CHECK_MILLISECONDS) { applied.inForce?.let { control.onConfiguration(it.set) } }
+        watcher.start(scope)
+        listener().start()
+        admin.start()
+        Logger.info("event=started role=sidecar name={} incarnation={}", settings.name, incarnation)
+    }
+
+    private fun listener() = EntryListener(
+        settings = settings,
+        incarnation = incarnation,
+        clock = clock,
+        connections = connections,
+        control = control,
+        executions = executions,
+        watcher = watcher,
+        version = { applied.version },
+        handshake = Handshake(KeyRing(settings.sharedKeys), settings.silenceMilliseconds),
+        metrics = metrics,
+        scope = scope,
+    )
+
+    private fun isReady() = !isStopping && applied.inForce != null
+
+    private suspend fun status() = ProcessStatus(
+        name = settings.name,
+        role = "sidecar",
+        incarnation = incarnation.value,
+        isReady = isReady(),
+        configuration = applied.version.number,
+        contentHash = applied.version.contentHash,
+        requests = controlThread.call { scheduler.runningRequests + scheduler.queuedOffers },
+        peers = connections.all.map { it.name }.sorted(),
+    )
+
+    /** Stops gracefully: refuses new work, finishes granted requests and hands over their answers. */
+    suspend fun stop() {
+        isStopping = true
+        control.leave()
+        val until = clock.monotonicMilliseconds() + settings.stopMilliseconds
+        while (control.unfinished() > 0 && clock.monotonicMilliseconds() < until) delay(POLL_MILLISECONDS)
+        delay(FLUSH_MILLISECONDS)
+        Logger.info("event=stopped role=sidecar name={} unfinished={}", settings.name, control.unfinished())
+        admin.stop()
+        scope.cancel()
+        caller.close()
+        platform.close()
+        controlThread.close()
+    }
+
+    private companion object {
+        const val DRAIN_CHECK_MILLISECONDS = 500L
+        const val POLL_MILLISECONDS = 20L
+        const val FLUSH_MILLISECONDS = 50L
+        val LIMITS_BEFORE_CONFIGURATION = EndpointLimits(1, 1, 1)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/transport/KeyRing.kt
@@ -0,0 +1,36 @@
+package org.guavahatch.daemon.transport
+
+import org.guavahatch.model.identity.Incarnation
+import java.security.MessageDigest
+import java.security.SecureRandom
+import java.util.HexFormat
+import javax.crypto.Mac
+import javax.crypto.spec.SecretKeySpec
+
+/**
+ * The shared keys of the connections between processes. The first key signs; all of them are accepted, so that keys can
+ * be rotated process by process.
+ */
+internal class KeyRing(private val keys: List<String>) {
+    /** A new random challenge. */
+    fun challenge(): String = HexFormat.of().formatHex(ByteArray(CHALLENGE_BYTES).also(random::nextBytes))
+
+    /** Signature of [signer] under the first key. */
+    fun sign(challenge: String, signer: Incarnation): String = sign(keys.first(), challenge, signer)
+
+    /** Whether [signature] was made by [signer] under one of the keys. */
+    fun accepts(signature: String, challenge: String, signer: Incarnation): Boolean =
+        keys.any { MessageDigest.isEqual(sign(it, challenge, signer).toByteArray(), signature.toByteArray()) }
+
+    private fun sign(key: String, challenge: String, signer: Incarnation): String {
+        val mac = Mac.getInstance(ALGORITHM)
+        mac.init(SecretKeySpec(key.toByteArray(), ALGORITHM))
+        return HexFormat.of().formatHex(mac.doFinal("$challenge/${signer.value}".toByteArray()))
+    }
+
+    private companion object {
+        const val ALGORITHM = "HmacSHA256"
+        const val CHALLENGE_BYTES = 16
+        val random = SecureRandom()
+    }
+}
--- /dev/null
+++ b/model/src/main/kotlin/org/guavahatch/model/check/DocumentReader.kt
@@ -0,0 +1,64 @@
+package org.guavahatch.model.check
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+
+/**
+ * Reads JSON with comments into a typed value, and reports every problem of its shape at once.
+ */
+@OptIn(ExperimentalSerializationApi::class)
+public object DocumentReader {
+    /** The dialect of settings and configurations: JSON with comments and trailing commas. */
+    public val json: Json = Json {
+        allowComments = true
+        allowTrailingComma = true
+        encodeDefaults = true
+        prettyPrint = true
+        prettyPrintIndent = "  "
+    }
+
+    /**
+     * Reads [text] as a value of [serializer].
+     *
+     * @param source origin of the text, for messages
+     * @return the value, or all problems of syntax and shape
+     */
+    public fun <T> read(source: String, text: String, serializer: KSerializer<T>): Either<DocumentError, T> {
+        val element = try {
+            json.parseToJsonElement(text)
+        } catch (exception: SerializationException) {
+            return DocumentError(source, listOf(syntaxProblem(text, exception))).left()
+        }
+        val problems = ShapeCheck.check(element, serializer.descriptor)
+        if (problems.isNotEmpty()) return DocumentError(source, problems).left()
+        return decode(source, element, serializer)
+    }
+
+    private fun <T> decode(
+        source: String,
+        element: JsonElement,
+        serializer: KSerializer<T>,
+    ): Either<DocumentError, T> =
+        try {
+            json.decodeFromJsonElement(serializer, element).right()
+        } catch (exception: IllegalArgumentException) {
+            DocumentError(source, listOf(Problem("$", "document", firstLine(exception)))).left()
+        }
+
+    private fun syntaxProblem(text: String, exception: SerializationException): Problem {
+        val offset = OFFSET.find(exception.message.orEmpty())?.groupValues?.get(1)?.toIntOrNull()
+        val line = offset?.let { text.take(it).count { character -> character == '\n' } + 1 }
+        val place = line?.let { "line $it" } ?: "document"
+        return Problem("$", place, "The text is not JSON with comments: ${firstLine(exception)}")
+    }
+
+    private fun firstLine(exception: Exception): String = exception.message.orEmpty().lineSequence().first()
+
+    private val OFFSET = Regex("offset (\\d+)")
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
@@ -0,0 +1,321 @@
+package org.guavahatch.scheduling.endpoint
+
+import org.guavahatch.model.identity.EndpointId
+import org.guavahatch.model.identity.Incarnation
+import org.guavahatch.model.identity.RequestId
+import org.guavahatch.protocol.message.Acknowledge
+import org.guavahatch.protocol.message.Attach
+import org.guavahatch.protocol.message.Cancel
+import org.guavahatch.protocol.message.Declined
+import org.guavahatch.protocol.message.Digest
+import org.guavahatch.protocol.message.Forgotten
+import org.guavahatch.protocol.message.Grant
+import org.guavahatch.protocol.message.GrantRefused
+import org.guavahatch.protocol.message.Leaving
+import org.guavahatch.protocol.message.Offer
+import org.guavahatch.protocol.message.OfferRefused
+import org.guavahatch.protocol.message.Ready
+import org.guavahatch.protocol.message.RefusalReason
+import org.guavahatch.protocol.message.RequestMessage
+import org.guavahatch.protocol.message.Withdraw
+import org.guavahatch.scheduling.estimate.SpeedMeter
+import org.guavahatch.scheduling.queue.QueuedRequest
+import org.guavahatch.scheduling.queue.TieredQueue
+
+/**
+ * The decisions of a sidecar: which offered request gets room at the endpoint next, and what was dispatched. A request
+ * is dispatched only on a grant for which room is reserved, so each attempt is dispatched at most once. Pure: it returns
+ * effects and performs none. Not safe for use by several threads.
+ *
+ * @property endpoint the endpoint
+ * @property pool name of the endpoint's pool
+ * @property incarnation run of the sidecar
+ */
+public class EndpointScheduler(
+    public val endpoint: EndpointId,
+    public val pool: String,
+    public val incarnation: Incarnation,
+    private var limits: EndpointLimits,
+    private val settings: EndpointSchedulerSettings = EndpointSchedulerSettings(),
+) {
+    private class QueuedOffer(val entry: Incarnation, val offer: Offer, val queued: QueuedRequest, val sinceMs: Long)
+
+    private val queue = TieredQueue()
+    private val offers = HashMap<RequestId, QueuedOffer>()
+    private val running = RunningRequests()
+    private val ledger = ExecutionLedger(settings.rememberMilliseconds)
+    private val speed = SpeedMeter(settings.initialCostPerSecond)
+    private var isLeaving = false
+    private var isDrained = false
+
+    /** Whether new offers are taken. */
+    public val isAccepting: Boolean get() = !isLeaving && !isDrained
+
+    /** Requests that are reserved or running. */
+    public val runningRequests: Int get() = running.size
+
+    /** Offers that wait. */
+    public val queuedOffers: Int get() = queue.size
+
+    /** Applies new limits from the configuration. */
+    public fun onLimits(newLimits: EndpointLimits, nowMilliseconds: Long): List<EndpointEffect> {
+        limits = newLimits
+        return reserve(nowMilliseconds)
+    }
+
+    /** Takes a message of the entry instance [entry]. Messages that do not concern the scheduler are ignored. */
+    public fun onMessage(entry: Incarnation, message: RequestMessage, nowMilliseconds: Long): List<EndpointEffect> =
+        when (message) {
+            is Offer -> onOffer(entry, message, nowMilliseconds)
+            is Withdraw -> onWithdraw(entry, message.requestId, nowMilliseconds)
+            is Declined -> onWithdraw(entry, message.requestId, nowMilliseconds)
+            is Grant -> onGrant(entry, message, nowMilliseconds)
+            is Cancel -> onCancel(message.requestId, nowMilliseconds)
+            is Attach -> onAttach(entry, message, nowMilliseconds)
+            is Acknowledge -> if (message.isFinal) listOf(EndpointEffect.Release(message.requestId)) else emptyList()
+            else -> emptyList()
+        }
+
+    private fun onOffer(entry: Incarnation, offer: Offer, nowMilliseconds: Long): List<EndpointEffect> {
+        val requestId = offer.requestId
+        val refusal = when {
+            !isAccepting -> RefusalReason.LEAVING
+            queue.size >= settings.maximumOffers -> RefusalReason.QUEUE_FULL
+            else -> null
+        }
+        if (refusal != null) return listOf(EndpointEffect.Send(entry, OfferRefused(requestId, refusal)))
+        if (requestId in running) return emptyList()
+        val deadline = nowMilliseconds + offer.remainingMilliseconds
+        val queued = QueuedRequest(requestId, offer.rank, offer.account, offer.share, offer.cost, deadline)
+        offers[requestId] = QueuedOffer(entry, offer, queued, nowMilliseconds)
+        queue.add(queued)
+        return reserve(nowMilliseconds)
+    }
+
+    private fun onWithdraw(entry: Incarnation, requestId: RequestId, nowMilliseconds: Long): List<EndpointEffect> {
+        if (requestId.entry != entry) return emptyList()
+        dropOffer(requestId)
+        return dropReservation(requestId, nowMilliseconds)
+    }
+
+    private fun dropOffer(requestId: RequestId) {
+        queue.remove(requestId)
+        offers.remove(requestId)
+    }
+
+    private fun dropReservation(requestId: RequestId, nowMilliseconds: Long): List<EndpointEffect> {
+        val reserved = running[requestId] ?: return emptyList()
+        if (reserved.isGranted) return emptyList()
+        running.remove(requestId)
+        return reserve(nowMilliseconds)
+    }
+
+    private fun onGrant(entry: Incarnation, grant: Grant, nowMilliseconds: Long): List<EndpointEffect> {
+        val reserved = running[grant.requestId]
+        val matches = reserved != null &&
+            !reserved.isGranted &&
+            reserved.entry == entry &&
+            reserved.offer.attempt == grant.attempt
+        return when {
+            grant.sidecar != incarnation -> emptyList()
+            reserved != null && matches && isAccepting -> dispatch(reserved, grant, nowMilliseconds)
+            ledger.wasDispatched(grant.requestId, grant.attempt) != false -> emptyList()
+            else -> refuseGrant(entry, grant.requestId, grant.attempt, nowMilliseconds)
+        }
+    }
+
+    private fun dispatch(reserved: RunningRequest, grant: Grant, nowMilliseconds: Long): List<EndpointEffect> {
+        if (!ledger.begin(grant.requestId, grant.attempt)) return emptyList()
+        reserved.isGranted = true
+        val deadline = nowMilliseconds + grant.remainingMilliseconds
+        return listOf(EndpointEffect.Execute(reserved.entry, grant, deadline))
+    }
+
+    private fun refuseGrant(
+        entry: Incarnation,
+        requestId: RequestId,
+        attempt: Int,
+        nowMilliseconds: Long,
+    ): List<EndpointEffect> {
+        val reason = if (isAccepting) RefusalReason.NO_RESERVATION else RefusalReason.LEAVING
+        dropOffer(requestId)
+        return dropReservation(requestId, nowMilliseconds) +
+            EndpointEffect.Send(entry, GrantRefused(requestId, attempt, reason))
+    }
+
+    private fun onCancel(requestId: RequestId, nowMilliseconds: Long): List<EndpointEffect> {
+        dropOffer(requestId)
+        val request = running[requestId] ?: return emptyList()
+        if (!request.isGranted) return dropReservation(requestId, nowMilliseconds)
+        return stop(request, StopReason.CANCELLED)
+    }
+
+    private fun stop(request: RunningRequest, reason: StopReason): List<EndpointEffect> {
+        if (request.isStopping) return emptyList()
+        request.isStopping = true
+        return listOf(EndpointEffect.Stop(request.offer.requestId, reason))
+    }
+
+    private fun onAttach(entry: Incarnation, attach: Attach, nowMilliseconds: Long): List<EndpointEffect> {
+        running[attach.requestId]?.orphanedMilliseconds = null
+        return when (ledger.wasDispatched(attach.requestId, attach.attempt)) {
+            true -> listOf(EndpointEffect.Replay(attach.requestId, attach.attempt, attach.offset, attach.hasHead))
+            false -> refuseGrant(entry, attach.requestId, attach.attempt, nowMilliseconds)
+            null -> listOf(EndpointEffect.Send(entry, Forgotten(attach.requestId, attach.attempt)))
+        }
+    }
+
+    /** Notes progress of a running request: [cost] worked off, and whether its first token has come. */
+    public fun onProgress(
+        requestId: RequestId,
+        cost: Double,
+        hasFirstToken: Boolean,
+        nowMilliseconds: Long,
+    ): List<EndpointEffect> {
+        val request = running[requestId] ?: return emptyList()
+        request.workedCost += cost
+        speed.add(cost)
+        if (!hasFirstToken || request.hasFirstToken) return emptyList()
+        request.hasFirstToken = true
+        return reserve(nowMilliseconds)
+    }
+
+    /**
+     * Notes that the call of a request has ended, however it ended.
+     *
+     * @param wasDispatched false only if the endpoint certainly received nothing of it
+     */
+    public fun onExecutionEnded(
+        requestId: RequestId,
+        wasDispatched: Boolean,
+        nowMilliseconds: Long,
+    ): List<EndpointEffect> {
+        val request = running.remove(requestId) ?: return emptyList()
+        ledger.end(requestId, nowMilliseconds)
+        speed.setBusy(running.size > 0, nowMilliseconds)
+        val refusal = GrantRefused(requestId, request.offer.attempt, RefusalReason.ENDPOINT_UNREACHABLE)
+        val proof = if (wasDispatched) emptyList() else listOf(EndpointEffect.Send(request.entry, refusal))
+        return proof + reserve(nowMilliseconds)
+    }
+
+    /** Notes that the connection of [entry] was lost: its offers and reservations go, its running requests stay. */
+    public fun onEntryLost(entry: Incarnation, nowMilliseconds: Long): List<EndpointEffect> {
+        offers.filterValues { it.entry == entry }.keys.forEach(::dropOffer)
+        val held = running.all.filter { it.entry == entry }
+        held.filterNot { it.isGranted }.forEach { running.remove(it.offer.requestId) }
+        held.filter { it.isGranted }.forEach { it.orphanedMilliseconds = nowMilliseconds }
+        return reserve(nowMilliseconds)
+    }
+
+    /** The process begins to stop: offers are refused, granted requests run on. */
+    public fun onLeave(): List<EndpointEffect> {
+        val entries = offers.values.map { it.entry }.toSet() + running.all.map { it.entry }
+        isLeaving = true
+        return refuseAllOffers() + entries.map { EndpointEffect.Send(it, Leaving) }
+    }
+
+    /** Starts or ends a drain of the endpoint. */
+    public fun onDrain(isInForce: Boolean, nowMilliseconds: Long): List<EndpointEffect> {
+        if (isDrained == isInForce) return emptyList()
+        isDrained = isInForce
+        return if (isInForce) refuseAllOffers() else reserve(nowMilliseconds)
+    }
+
+    private fun refuseAllOffers(): List<EndpointEffect> {
+        val refusals = offers.values.map {
+            EndpointEffect.Send(it.entry, OfferRefused(it.offer.requestId, RefusalReason.LEAVING))
+        }
+        offers.keys.toList().forEach(::dropOffer)
+        return refusals
+    }
+
+    /** Lets time pass: reservations and offers expire, orphans are stopped, lower tiers make room. Call every 20 ms. */
+    public fun onTick(nowMilliseconds: Long): List<EndpointEffect> {
+        speed.setBusy(running.size > 0, nowMilliseconds)
+        ledger.prune(nowMilliseconds) { it in running }
+        return expireReservations(nowMilliseconds) +
+            expireOffers(nowMilliseconds) +
+            stopOrphans(nowMilliseconds) +
+            preempt(nowMilliseconds) +
+            reserve(nowMilliseconds)
+    }
+
+    private fun expireReservations(nowMilliseconds: Long): List<EndpointEffect> =
+        running.all
+            .filter { !it.isGranted && it.startedMilliseconds + settings.reservationMilliseconds <= nowMilliseconds }
+            .map { expired ->
+                running.remove(expired.offer.requestId)
+                EndpointEffect.Send(
+                    expired.entry,
+                    OfferRefused(expired.offer.requestId, RefusalReason.NO_RESERVATION),
+                )
+            }
+
+    private fun expireOffers(nowMilliseconds: Long): List<EndpointEffect> {
+        offers.filterValues { it.queued.deadlineMilliseconds <= nowMilliseconds }.keys.forEach(::dropOffer)
+        return emptyList()
+    }
+
+    private fun stopOrphans(nowMilliseconds: Long): List<EndpointEffect> =
+        running.all.filter { isOrphan(it, nowMilliseconds) }.flatMap { stop(it, StopReason.CANCELLED) }
+
+    private fun isOrphan(request: RunningRequest, nowMilliseconds: Long): Boolean {
+        val since = request.orphanedMilliseconds ?: return false
+        return request.isGranted && since + settings.orphanMilliseconds <= nowMilliseconds
+    }
+
+    private fun preempt(nowMilliseconds: Long): List<EndpointEffect> {
+        val waiting = queue.first()?.let { offers[it.requestId] } ?: return emptyList()
+        if (running.hasRoomFor(waiting.offer, limits) || running.all.any { it.isStopping }) return emptyList()
+        val delay = minOf(settings.preemptionDelayMilliseconds, waiting.offer.remainingMilliseconds / QUARTER)
+        if (nowMilliseconds - waiting.sinceMs < delay) return emptyList()
+        val victim = running.all
+            .filter { it.isPreemptible && it.offer.rank > waiting.offer.rank }
+            .maxWithOrNull(compareBy({ it.offer.rank }, { it.startedMilliseconds }))
+            ?: return emptyList()
+        return stop(victim, StopReason.PREEMPTED)
+    }
+
+    private fun reserve(nowMilliseconds: Long): List<EndpointEffect> {
+        val effects = mutableListOf<EndpointEffect>()
+        while (true) {
+            val first = queue.first()?.let { offers[it.requestId] } ?: return effects
+            if (!isFeasible(first, nowMilliseconds)) {
+                dropOffer(first.offer.requestId)
+                effects += refusal(first, RefusalReason.INFEASIBLE)
+                continue
+            }
+            if (!running.hasRoomFor(first.offer, limits)) return effects
+            dropOffer(first.offer.requestId)
+            queue.charge(first.queued)
+            speed.setBusy(true, nowMilliseconds)
+            running.add(RunningRequest(first.entry, first.offer, first.queued.deadlineMilliseconds, nowMilliseconds))
+            effects += EndpointEffect.Send(first.entry, Ready(first.offer.requestId))
+        }
+    }
+
+    private fun refusal(offer: QueuedOffer, reason: RefusalReason): EndpointEffect =
+        EndpointEffect.Send(offer.entry, OfferRefused(offer.offer.requestId, reason))
+
+    private fun isFeasible(offer: QueuedOffer, nowMilliseconds: Long): Boolean {
+        val expected = MILLISECONDS_PER_SECOND * offer.offer.cost / speed.costPerSecond
+        return nowMilliseconds + settings.feasibilityFactor * expected < offer.queued.deadlineMilliseconds
+    }
+
+    /** The state of the endpoint, for entry instances. */
+    public fun digest(): Digest = Digest(
+        endpoint = endpoint,
+        pool = pool,
+        isAccepting = isAccepting,
+        runningRequests = running.size,
+        runningCost = running.remainingCost,
+        queued = queue.summary(),
+        lowestRunningRank = running.lowestRank,
+        costPerSecond = speed.costPerSecond,
+    )
+
+    private companion object {
+        const val QUARTER = 4
+        const val MILLISECONDS_PER_SECOND = 1000.0
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineMain.kt
@@ -0,0 +1,82 @@
+package org.guavahatch.standins.engine
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import org.guavahatch.standins.StandIn
+import org.guavahatch.standins.web.ServedRecords
+import org.guavahatch.standins.web.receiveJson
+import org.guavahatch.standins.web.respondJson
+import org.guavahatch.standins.web.standInServer
+import org.kohsuke.args4j.Option
+
+/** Command line of the stand-in engine. */
+internal class EngineMain : StandIn {
+    @Option(name = "--port", required = true, usage = "port on the loopback address")
+    private var port = 0
+
+    @Option(name = "--speed", usage = "factor by which the engine is faster than the default")
+    private var speed = 1.0
+
+    @Option(name = "--cache-tokens", usage = "tokens of prompt prefixes that are cached")
+    private var cacheTokens = 40_000
+
+    @Option(name = "--memory-tokens", usage = "tokens that the KV memory holds")
+    private var memoryTokens = 200_000L
+
+    @Option(name = "--ignore-fencing", usage = "apply orders with old fencing numbers too")
+    private var ignoreFencing = false
+
+    @Serializable
+    private data class Control(val slowdown: Double)
+
+    override fun run() {
+        val settings = EngineSettings(
+            speed = speed,
+            cacheTokens = cacheTokens,
+            memoryTokens = memoryTokens,
+            checksFencing = !ignoreFencing,
+        )
+        val scope = CoroutineScope(Dispatchers.Default)
+        val engine = BatchEngine(settings, scope)
+        val reports = LaggingReport(settings.reportLagMilliseconds, EngineLoad(0, 0, 0))
+        engine.start()
+        scope.launch {
+            while (true) {
+                reports.add(System.nanoTime() / NANOSECONDS_PER_MILLISECOND, engine.load)
+                delay(REPORT_MILLISECONDS)
+            }
+        }
+        standInServer(port) { routes(engine, EngineOrders(settings.checksFencing), reports) }.start(wait = true)
+    }
+
+    private fun Routing.routes(engine: BatchEngine, orders: EngineOrders, reports: LaggingReport<EngineLoad>) {
+        val records = ServedRecords()
+        val chat = ChatRoutes(engine, records)
+        post("/v1/chat/completions") { chat.complete(call) }
+        post("/v1/requests/{id}/cancel") { call.respondJson(chat.cancel(call.parameters["id"].orEmpty())) }
+        get("/load") { call.respondJson(reports.get()) }
+        get("/statistics") { call.respondJson(engine.computedPromptTokens) }
+        get("/records") { call.respondJson(records.all) }
+        get("/orders") { call.respondJson(orders.state()) }
+        post("/orders") {
+            val isApplied = orders.apply(call.receiveJson<EngineOrder>())
+            call.respondJson(isApplied, if (isApplied) HttpStatusCode.OK else HttpStatusCode.Conflict)
+        }
+        post("/control") {
+            engine.slowdown = call.receiveJson<Control>().slowdown
+            call.respondJson(engine.slowdown)
+        }
+    }
+
+    private companion object {
+        const val REPORT_MILLISECONDS = 100L
+        const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/LocalHttp.kt
@@ -0,0 +1,53 @@
+package org.guavahatch.standins.launch
+
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpRequest.BodyPublishers
+import java.net.http.HttpResponse
+import java.net.http.HttpResponse.BodyHandlers
+import java.time.Duration
+
+/** Calls processes on this machine. */
+object LocalHttp {
+    private const val PAUSE_MILLISECONDS = 50L
+    private const val STATUS_OK = 200
+    private const val TIMEOUT_SECONDS = 60L
+    private val client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
+
+    /** Sends a GET. */
+    fun get(url: String, vararg headers: String): HttpResponse<String> = send(request(url, headers).GET())
+
+    /** Sends a PUT with [body]. */
+    fun put(url: String, body: String): HttpResponse<String> =
+        send(request(url, emptyArray()).PUT(BodyPublishers.ofString(body)))
+
+    /** Sends a POST with [body]; [headers] are names and values in turn. */
+    fun post(url: String, body: String, vararg headers: String): HttpResponse<String> =
+        send(request(url, headers).POST(BodyPublishers.ofString(body)))
+
+    private fun request(url: String, headers: Array<out String>): HttpRequest.Builder {
+        val builder = HttpRequest.newBuilder(URI(url)).timeout(Duration.ofSeconds(TIMEOUT_SECONDS))
+        return if (headers.isEmpty()) builder else builder.headers(*headers)
+    }
+
+    private fun send(request: HttpRequest.Builder) = client.send(request.build(), BodyHandlers.ofString())
+
+    /** Waits until [url] answers with status 200. */
+    fun awaitOk(url: String, milliseconds: Long) {
+        val until = System.nanoTime() + milliseconds * 1_000_000
+        while (!isOk(url)) {
+            check(System.nanoTime() < until) { "$url did not answer with status 200 within $milliseconds ms." }
+            Thread.sleep(PAUSE_MILLISECONDS)
+        }
+    }
+
+    /** Whether [url] answers with status 200 at once. */
+    fun isOk(url: String): Boolean =
+        try {
+            get(url).statusCode() == STATUS_OK
+        } catch (_: IOException) {
+            false
+        }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
@@ -0,0 +1,61 @@
+package org.guavahatch.standins.launch
+
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/**
+ * A process that a test or the demo has started.
+ *
+ * @property name name, for messages
+ */
+class ManagedProcess internal constructor(val name: String, private val process: Process) {
+    val isRunning: Boolean get() = process.isAlive
+
+    val processId: Long get() = process.pid()
+
+    /** Asks the process to stop (SIGTERM). */
+    fun terminate() {
+        process.destroy()
+    }
+
+    /** Ends the process at once (SIGKILL). */
+    fun kill() {
+        process.destroyForcibly()
+        process.waitFor()
+    }
+
+    /** Stops the process from running until [thaw] (SIGSTOP). */
+    fun freeze() = signal("STOP")
+
+    /** Lets a frozen process run again (SIGCONT). */
+    fun thaw() = signal("CONT")
+
+    /** Waits until the process has ended; false if it still runs after [milliseconds]. */
+    fun awaitEnd(milliseconds: Long): Boolean = process.waitFor(milliseconds, TimeUnit.MILLISECONDS)
+
+    /** Waits for the end of the process; returns its exit code. */
+    fun exitCode(): Int = process.waitFor()
+
+    private fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", processId.toString()).inheritIO().start().waitFor()
+    }
+
+    internal companion object {
+        private val FLAGS = listOf(
+            "-Xmx160m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-XX:ActiveProcessorCount=2",
+            "-Xshare:auto",
+        )
+
+        /** Starts [mainClass] with this process's class path; its output goes to [log]. */
+        fun start(name: String, log: Path, mainClass: String, arguments: List<String>): ManagedProcess {
+            val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+            val command = listOf(java) + FLAGS + listOf("-cp", System.getProperty("java.class.path"), mainClass) + arguments
+            val output = ProcessBuilder.Redirect.appendTo(log.toFile())
+            val process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start()
+            return ManagedProcess(name, process)
+        }
+    }
+}
