--- a/cli/src/main/kotlin/org/guavahatch/cli/command/DrainCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/DrainCommand.kt
@@ -17,27 +17,26 @@
     /** The changed set. */
     protected abstract fun change(set: ConfigurationSet): ConfigurationSet
 
-    override suspend fun run(platform: PlatformAccess): Int =
-        whenAvailable(platform.store.head()) { head ->
-            val version = head?.publication?.version
-            if (version == null) {
-                System.err.println("guavahatch: Nothing was published yet.")
-                Command.EXIT_USAGE
-            } else {
-                whenAvailable(platform.store.text(version)) { text ->
-                    ConfigurationReader.read(version.toString(), text.orEmpty()).fold(
-                        { error ->
-                            System.err.println(error)
-                            Command.EXIT_USAGE
-                        },
-                        { set ->
-                            val changed = ConfigurationReader.write(change(set))
-                            publish(platform, "version $version", changed, version, "drains of $pool/$endpoint")
-                        },
-                    )
-                }
+    override suspend fun run(platform: PlatformAccess): Int = whenAvailable(platform.store.head()) { head ->
+        val version = head?.publication?.version
+        if (version == null) {
+            System.err.println("guavahatch: Nothing was published yet.")
+            Command.EXIT_USAGE
+        } else {
+            whenAvailable(platform.store.text(version)) { text ->
+                ConfigurationReader.read(version.toString(), text.orEmpty()).fold(
+                    { error ->
+                        System.err.println(error)
+                        Command.EXIT_USAGE
+                    },
+                    { set ->
+                        val changed = ConfigurationReader.write(change(set))
+                        publish(platform, "version $version", changed, version, "drains of $pool/$endpoint")
+                    },
+                )
             }
         }
+    }
 
     /** Drains other than that of the endpoint. */
     protected fun otherDrains(set: ConfigurationSet): List<Drain> =
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/HistoryCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/HistoryCommand.kt
@@ -4,11 +4,10 @@
 
 /** Lists the accepted configurations: when, who, why. */
 internal class HistoryCommand : PlatformCommand() {
-    override suspend fun run(platform: PlatformAccess): Int =
-        whenAvailable(platform.store.history()) { publications ->
-            publications.forEach {
-                println("${it.version}  ${Instant.ofEpochMilli(it.atMilliseconds)}  ${it.publisher}  ${it.comment}")
-            }
-            Command.EXIT_OK
+    override suspend fun run(platform: PlatformAccess): Int = whenAvailable(platform.store.history()) { publications ->
+        publications.forEach {
+            println("${it.version}  ${Instant.ofEpochMilli(it.atMilliseconds)}  ${it.publisher}  ${it.comment}")
         }
+        Command.EXIT_OK
+    }
 }
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
@@ -34,7 +34,7 @@
     /** Does the work. */
     abstract suspend fun run(platform: PlatformAccess): Int
 
-    override fun run(): Int = PlatformClient(platformUrl).use { client ->
+    override fun run(): Int = PlatformClient(platformUrl, TIMEOUT_MILLISECONDS).use { client ->
         val table = HttpTableService(client)
         val objects = HttpObjectStore(client)
         val settle = settleSeconds * MILLISECONDS_PER_SECOND
@@ -72,14 +72,13 @@
     private suspend fun readSet(
         platform: PlatformAccess,
         version: ConfigurationVersion?,
-    ): Either<PlatformError, ConfigurationSet?> =
-        if (version == null) {
-            Either.Right(null)
-        } else {
-            platform.store.text(version).map { text ->
-                text?.let { ConfigurationReader.read(version.toString(), it).getOrNull() }
-            }
+    ): Either<PlatformError, ConfigurationSet?> = if (version == null) {
+        Either.Right(null)
+    } else {
+        platform.store.text(version).map { text ->
+            text?.let { ConfigurationReader.read(version.toString(), it).getOrNull() }
         }
+    }
 
     private fun printDifference(older: ConfigurationSet?, newer: ConfigurationSet): Int {
         val nothing = ConfigurationSet(emptyList(), emptyList(), emptyList(), emptyList())
@@ -91,5 +90,6 @@
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1000L
+        const val TIMEOUT_MILLISECONDS = 5000L
     }
 }
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/ShowCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/ShowCommand.kt
@@ -8,11 +8,10 @@
     @Option(name = "--version", metaVar = "NUMBER", usage = "version to show, default the head")
     private var number: Long = HEAD
 
-    override suspend fun run(platform: PlatformAccess): Int =
-        whenAvailable(platform.store.head()) { head ->
-            val wanted = if (number == HEAD) head?.publication?.version?.number ?: 0 else number
-            whenAvailable(platform.store.publication(wanted)) { publication -> show(platform, wanted, publication) }
-        }
+    override suspend fun run(platform: PlatformAccess): Int = whenAvailable(platform.store.head()) { head ->
+        val wanted = if (number == HEAD) head?.publication?.version?.number ?: 0 else number
+        whenAvailable(platform.store.publication(wanted)) { publication -> show(platform, wanted, publication) }
+    }
 
     private suspend fun show(platform: PlatformAccess, wanted: Long, publication: Publication?): Int {
         if (publication == null) {
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/StatusCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/StatusCommand.kt
@@ -1,13 +1,13 @@
 package org.guavahatch.cli.command
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.get
 import io.ktor.client.statement.bodyAsText
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.guavahatch.platform.http.SingleTryClient
 import org.kohsuke.args4j.Argument
 
 /** Shows what processes have in force, and whether they are ready. */
@@ -27,20 +27,19 @@
         val peers: List<String>,
     )
 
-    override fun run(): Int = HttpClient(CIO).use { client ->
+    override fun run(): Int = SingleTryClient.create(MAXIMUM_CONNECTIONS, TIMEOUT_MILLISECONDS).use { client ->
         val reached = runBlocking { urls.map { show(client, it) } }
         if (reached.all { it }) Command.EXIT_OK else Command.EXIT_UNAVAILABLE
     }
 
-    private suspend fun show(client: HttpClient, url: String): Boolean =
-        try {
-            val text = withTimeout(TIMEOUT_MILLISECONDS) { client.get("$url/status").bodyAsText() }
-            print(json.decodeFromString<Status>(text))
-            true
-        } catch (exception: Exception) {
-            println("$url: not reached: ${exception.javaClass.simpleName}")
-            false
-        }
+    private suspend fun show(client: HttpClient, url: String): Boolean = try {
+        val text = withTimeout(TIMEOUT_MILLISECONDS) { client.get("$url/status").bodyAsText() }
+        print(json.decodeFromString<Status>(text))
+        true
+    } catch (exception: Exception) {
+        println("$url: not reached: ${exception.javaClass.simpleName}")
+        false
+    }
 
     private fun print(status: Status) {
         val ready = if (status.isReady) "ready" else "not ready"
@@ -53,6 +52,7 @@
 
     private companion object {
         const val TIMEOUT_MILLISECONDS = 2000L
+        const val MAXIMUM_CONNECTIONS = 16
         const val SHORT_HASH = 12
         val json = Json { ignoreUnknownKeys = true }
     }
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/CallerClient.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/CallerClient.kt
@@ -1,7 +1,5 @@
 package org.guavahatch.cli.load
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
@@ -17,6 +15,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import org.guavahatch.platform.http.SingleTryClient
 import java.net.ConnectException
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -24,18 +23,11 @@
 /**
  * Sends requests as callers do.
  *
- * @property targets addresses of entry instances, which take turns; one that refuses the connection is passed over, as a
- * balancer does
+ * @property targets addresses of entry instances, which take turns; one that refuses the connection is passed over,
+ * as a balancer does
  */
 internal class CallerClient(private val targets: List<String>) : AutoCloseable {
-    private val client = HttpClient(CIO) {
-        expectSuccess = false
-        engine {
-            requestTimeout = 0
-            maxConnectionsCount = MAXIMUM_CONNECTIONS
-            endpoint.maxConnectionsPerRoute = MAXIMUM_CONNECTIONS
-        }
-    }
+    private val client = SingleTryClient.create(MAXIMUM_CONNECTIONS, CONNECT_MILLISECONDS)
 
     /** Sends [planned] and reads its answer; [startNanoseconds] is when it was to be sent. */
     suspend fun send(planned: PlannedRequest, startNanoseconds: Long): Measurement {
@@ -156,6 +148,7 @@
 
     private companion object {
         const val MAXIMUM_CONNECTIONS = 10_000
+        const val CONNECT_MILLISECONDS = 2000L
         const val FIRST_ERROR = 400
         const val NANOSECONDS_PER_MILLISECOND = 1_000_000.0
     }
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/LoadCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/LoadCommand.kt
@@ -21,7 +21,12 @@
     @Option(name = "--mix", required = true, metaVar = "FILE", usage = "load to send, JSON with comments")
     private var mixFile: String = ""
 
-    @Option(name = "--target", required = true, metaVar = "URL", usage = "address of an entry instance; may be repeated")
+    @Option(
+        name = "--target",
+        required = true,
+        metaVar = "URL",
+        usage = "address of an entry instance; may be repeated",
+    )
     private var targets: List<String> = ArrayList()
 
     @Option(name = "--records", metaVar = "URL", usage = "address of a stand-in with records; may be repeated")
@@ -65,7 +70,14 @@
         val measurements = LoadRun(client, !isQuiet).send(ArrivalSchedule.plan(mix, prefix))
         // Work whose callers were told "unknown" may still be under way.
         if (recordUrls.isNotEmpty()) delay(SETTLE_MILLISECONDS)
-        val wrong = if (recordUrls.isEmpty()) emptyList() else RecordCheck.check(measurements, RecordCheck.fetch(recordUrls))
+        val wrong = if (recordUrls.isEmpty()) {
+            emptyList()
+        } else {
+            RecordCheck.check(
+                measurements,
+                RecordCheck.fetch(recordUrls),
+            )
+        }
         ResultBuilder.build(mix, measurements, wrong)
     }
 
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/LoadResult.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/LoadResult.kt
@@ -48,13 +48,7 @@
  * @property good requests answered whole before their deadline
  */
 @Serializable
-internal data class SecondResult(
-    val second: Int,
-    val tier: String,
-    val kind: String,
-    val sent: Int,
-    val good: Int,
-)
+internal data class SecondResult(val second: Int, val tier: String, val kind: String, val sent: Int, val good: Int)
 
 /**
  * Result of a load.
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/RecordCheck.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/RecordCheck.kt
@@ -1,13 +1,13 @@
 package org.guavahatch.cli.load
 
 import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.get
 import io.ktor.client.statement.bodyAsText
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
+import org.guavahatch.platform.http.SingleTryClient
 
 /**
  * What a stand-in did for a request.
@@ -32,13 +32,16 @@
 /** Compares what callers learned with what the stand-ins say they did. */
 internal object RecordCheck {
     private const val TRIES = 20
+    private const val MAXIMUM_CONNECTIONS = 16
+    private const val CONNECT_MILLISECONDS = 1000L
     private const val PAUSE_MILLISECONDS = 200L
     private val json = Json { ignoreUnknownKeys = true }
 
     /** Fetches the records of all stand-ins at [urls]; those that are not there any more are left out. */
-    suspend fun fetch(urls: List<String>): List<StandInRecord> = HttpClient(CIO).use { client ->
-        urls.flatMap { url -> fetch(client, url) }
-    }
+    suspend fun fetch(urls: List<String>): List<StandInRecord> =
+        SingleTryClient.create(MAXIMUM_CONNECTIONS, CONNECT_MILLISECONDS).use { client ->
+            urls.flatMap { url -> fetch(client, url) }
+        }
 
     private suspend fun fetch(client: HttpClient, url: String): List<StandInRecord> {
         repeat(TRIES) {
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/ResultBuilder.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/ResultBuilder.kt
@@ -48,9 +48,12 @@
         return Quantiles(histogram.totalCount, at(50.0), at(95.0), at(99.0), at(100.0))
     }
 
-    private fun timeline(measurements: List<Measurement>): List<SecondResult> =
-        measurements
-            .groupBy { Triple((it.planned.atMilliseconds / MILLISECONDS_PER_SECOND).toInt(), tierOf(it), it.planned.kind.name) }
-            .map { (key, group) -> SecondResult(key.first, key.second, key.third, group.size, group.count { it.isGood }) }
-            .sortedWith(compareBy({ it.second }, { it.tier }, { it.kind }))
+    private fun timeline(measurements: List<Measurement>): List<SecondResult> = measurements
+        .groupBy {
+            Triple((it.planned.atMilliseconds / MILLISECONDS_PER_SECOND).toInt(), tierOf(it), it.planned.kind.name)
+        }
+        .map { (key, group) ->
+            SecondResult(key.first, key.second, key.third, group.size, group.count { it.isGood })
+        }
+        .sortedWith(compareBy({ it.second }, { it.tier }, { it.kind }))
 }
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/ResultPrinter.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/ResultPrinter.kt
@@ -11,7 +11,14 @@
         println()
         println(
             "%-24s %6s %8s %7s %7s %7s %7s  %s".format(
-                "", "sent", "answered", "in time", "not run", "unknown", "refused", "duration p50/p99 ms, first token p95, gap p95",
+                "",
+                "sent",
+                "answered",
+                "in time",
+                "not run",
+                "unknown",
+                "refused",
+                "duration p50/p99 ms, first token p95, gap p95",
             ),
         )
         result.tiers.forEach { print("tier ${it.name}", it) }
--- a/cli/src/main/kotlin/org/guavahatch/cli/report/HtmlReport.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/report/HtmlReport.kt
@@ -32,7 +32,7 @@
     private fun StringBuilder.table(groups: List<GroupBurn>) {
         val windows = groups.firstOrNull()?.windows.orEmpty().map { it.windowSeconds }
         append("<table><tr><th>Group</th><th>Objective</th><th>Sent</th><th>In time</th>")
-        windows.forEach { append("<th>Worst ${it} s</th>") }
+        windows.forEach { append("<th>Worst $it s</th>") }
         append("</tr>")
         groups.forEach { group ->
             append("<tr><td>${escape(group.name)}</td><td>${number(group.objectivePercent)} %</td>")
--- a/cli/src/main/kotlin/org/guavahatch/cli/report/ReportCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/report/ReportCommand.kt
@@ -71,7 +71,9 @@
             val burns = group.windows.joinToString("  ") { window ->
                 "%d s: worst %.2f, last %.2f".format(Locale.ROOT, window.windowSeconds, window.worst, window.last)
             }
-            println("$label ${group.name}: ${group.good} of ${group.sent} in time, objective ${group.objectivePercent} %  $burns")
+            println(
+                "$label ${group.name}: ${group.good} of ${group.sent} in time, objective ${group.objectivePercent} %  $burns",
+            )
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/configuration/ConfigurationWatcher.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/configuration/ConfigurationWatcher.kt
@@ -27,29 +27,33 @@
     private val pollMilliseconds: Long,
     private val onApplied: (InForce) -> Unit,
 ) {
-    /** Polls until [scope] ends. The pauses vary by a tenth, so that processes started together do not poll together. */
+    /**
+     * Polls until [scope] ends. The pauses vary by a tenth, so that processes started together do not poll together.
+     */
     fun start(scope: CoroutineScope) {
         scope.launch {
             while (true) {
                 poll()
-                delay(pollMilliseconds + Random.nextLong(-pollMilliseconds / JITTER_PARTS, pollMilliseconds / JITTER_PARTS))
+                delay(
+                    pollMilliseconds +
+                        Random.nextLong(-pollMilliseconds / JITTER_PARTS, pollMilliseconds / JITTER_PARTS),
+                )
             }
         }
     }
 
     /** Looks at the head once; false if the platform could not be reached. */
-    suspend fun poll(): Boolean =
-        store.head().fold(
-            { error ->
-                failed(error)
-                false
-            },
-            { head ->
-                val version = head?.publication?.version
-                if (version != null && version > applied.version) fetch(version)
-                true
-            },
-        )
+    suspend fun poll(): Boolean = store.head().fold(
+        { error ->
+            failed(error)
+            false
+        },
+        { head ->
+            val version = head?.publication?.version
+            if (version != null && version > applied.version) fetch(version)
+            true
+        },
+    )
 
     private suspend fun fetch(version: ConfigurationVersion) {
         store.text(version).fold(
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/control/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/control/ControlThread.kt
@@ -11,7 +11,9 @@
 
 /** The one thread that owns a process's control state. Blocks run on it one after another, in the order of [post]. */
 internal class ControlThread(private val clock: Clock) : AutoCloseable {
-    private val executor = Executors.newSingleThreadExecutor { task -> Thread(task, "control").apply { isDaemon = true } }
+    private val executor = Executors.newSingleThreadExecutor { task ->
+        Thread(task, "control").apply { isDaemon = true }
+    }
     private val scope = CoroutineScope(executor.asCoroutineDispatcher())
 
     /** Runs [block] later on the control thread. */
@@ -29,8 +31,8 @@
     }
 
     /**
-     * Runs [block] on the control thread every [periodMilliseconds]. The block is told the time since its last run, which
-     * is much longer than the period after the process was frozen.
+     * Runs [block] on the control thread every [periodMilliseconds]. The block is told the time since its last run,
+     * which is much longer than the period after the process was frozen.
      */
     fun every(periodMilliseconds: Long, block: (elapsedMilliseconds: Long) -> Unit) {
         scope.launch {
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/AccountKeys.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/AccountKeys.kt
@@ -18,8 +18,9 @@
 
     fun find(key: String, inForce: InForce): ClientAccount? {
         val cache = cacheFor(inForce.version.number)
-        return cache.accounts[key] ?: inForce.set.clientAccounts.find { account -> account.keys.any { it.matches(key) } }
-            ?.also { if (cache.accounts.size < MAXIMUM_REMEMBERED) cache.accounts[key] = it }
+        return cache.accounts[key]
+            ?: inForce.set.clientAccounts.find { account -> account.keys.any { it.matches(key) } }
+                ?.also { if (cache.accounts.size < MAXIMUM_REMEMBERED) cache.accounts[key] = it }
     }
 
     private fun cacheFor(version: Long): Known {
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerServer.kt
@@ -5,10 +5,10 @@
 import io.ktor.http.HttpStatusCode
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.application.install
-import io.ktor.server.cio.CIO
 import io.ktor.server.engine.EmbeddedServer
 import io.ktor.server.engine.embeddedServer
 import io.ktor.server.http.HttpRequestLifecycle
+import io.ktor.server.netty.Netty
 import io.ktor.server.response.header
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
@@ -46,7 +46,7 @@
     val openCalls: Int get() = open.get()
 
     private val server: EmbeddedServer<*, *> =
-        embeddedServer(CIO, port = settings.callerPort, host = settings.host) {
+        embeddedServer(Netty, port = settings.callerPort, host = settings.host) {
             install(HttpRequestLifecycle) { cancelCallOnClose = true }
             routing { route("{...}") { handle { serve(call) } } }
         }
@@ -100,16 +100,15 @@
         }
     }
 
-    private suspend fun answer(call: ApplicationCall, exchange: Exchange): Outcome =
-        try {
-            CallerAnswer(call, exchange).send()
-        } catch (exception: CancellationException) {
-            control.onCallerGone(exchange.requestId)
-            throw exception
-        } catch (exception: Exception) {
-            control.onCallerGone(exchange.requestId)
-            throw exception
-        }
+    private suspend fun answer(call: ApplicationCall, exchange: Exchange): Outcome = try {
+        CallerAnswer(call, exchange).send()
+    } catch (exception: CancellationException) {
+        control.onCallerGone(exchange.requestId)
+        throw exception
+    } catch (exception: Exception) {
+        control.onCallerGone(exchange.requestId)
+        throw exception
+    }
 
     private fun finish(exchange: Exchange, outcome: Outcome) {
         val plan = exchange.plan
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/ChatEnvelope.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/ChatEnvelope.kt
@@ -35,14 +35,13 @@
         private val json = Json { ignoreUnknownKeys = true }
 
         /** Reads [body], or tells in a sentence why it is no chat request. */
-        fun read(body: ByteArray): Either<String, ChatEnvelope> =
-            try {
-                json.decodeFromString<ChatEnvelope>(body.decodeToString(throwOnInvalidSequence = true)).right()
-            } catch (exception: SerializationException) {
-                exception.message.orEmpty().lineSequence().first().left()
-            } catch (_: CharacterCodingException) {
-                "The text is not UTF-8.".left()
-            }
+        fun read(body: ByteArray): Either<String, ChatEnvelope> = try {
+            json.decodeFromString<ChatEnvelope>(body.decodeToString(throwOnInvalidSequence = true)).right()
+        } catch (exception: SerializationException) {
+            exception.message.orEmpty().lineSequence().first().left()
+        } catch (_: CharacterCodingException) {
+            "The text is not UTF-8.".left()
+        }
 
         /** [body] with the order to continue after [tokens] tokens of the answer. */
         fun resumed(body: ByteArray, tokens: Int): ByteArray {
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/ConfigurationFreshness.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/ConfigurationFreshness.kt
@@ -9,8 +9,8 @@
 import org.guavahatch.model.time.Clock
 
 /**
- * Holds callers' requests back after this process was frozen, until it had the chance to learn of a configuration that was
- * accepted meanwhile: from the head or, while the store is down, from the heartbeats of sidecars.
+ * Holds callers' requests back after this process was frozen, until it had the chance to learn of a configuration
+ * that was accepted meanwhile: from the head or, while the store is down, from the heartbeats of sidecars.
  *
  * @property peerMilliseconds time in which sidecars' heartbeats arrive
  */
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryControl.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryControl.kt
@@ -10,9 +10,9 @@
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.identity.Incarnation
 import org.guavahatch.model.identity.RequestId
+import org.guavahatch.model.outcome.NotRunReason
 import org.guavahatch.model.outcome.Outcome
 import org.guavahatch.model.outcome.UnknownReason
-import org.guavahatch.model.outcome.NotRunReason
 import org.guavahatch.model.time.Clock
 import org.guavahatch.platform.claim.ClaimResult
 import org.guavahatch.platform.publication.AppliedConfiguration
@@ -41,7 +41,8 @@
     private val exchanges: Exchanges,
     private val applied: AppliedConfiguration,
     private val metrics: DaemonMetrics,
-) : LinkListener, ClaimListener {
+) : LinkListener,
+    ClaimListener {
     /** Set once before the first request. */
     lateinit var links: SidecarLinks
 
@@ -175,7 +176,10 @@
         exchange.conclude(finalOutcome(effect))
     }
 
-    /** While another attempt has the claim, "not run" would be true of this attempt only, and the caller means the work. */
+    /**
+     * While another attempt has the claim, "not run" would be true of this attempt only, and the caller means the
+     * work.
+     */
     private fun finalOutcome(effect: DispatchEffect.Conclude): Outcome {
         val outcome = effect.outcome
         val isHeldElsewhere = outcome is Outcome.NotRun &&
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryProcess.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryProcess.kt
@@ -106,8 +106,7 @@
         controlThread.close()
     }
 
-    private suspend fun isBusy() =
-        callers.openCalls > 0 || control.unanswered() > 0 || claims.unwrittenChanges > 0
+    private suspend fun isBusy() = callers.openCalls > 0 || control.unanswered() > 0 || claims.unwrittenChanges > 0
 
     private companion object {
         const val DRAIN_CHECK_MILLISECONDS = 500L
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/Exchange.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/Exchange.kt
@@ -48,8 +48,8 @@
 }
 
 /**
- * A request between its caller and its endpoint. Frames come from connections, events go to the caller's coroutine; safe
- * for use by several threads.
+ * A request between its caller and its endpoint. Frames come from connections, events go to the caller's coroutine;
+ * safe for use by several threads.
  */
 internal class Exchange(val requestId: RequestId, val plan: RequestPlan, val acceptedMilliseconds: Long) {
     private val channel = Channel<ExchangeEvent>(Channel.UNLIMITED)
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/RequestPlan.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/RequestPlan.kt
@@ -32,7 +32,10 @@
 ) {
     val needsClaim: Boolean get() = route.idempotencyKey == IdempotencyKeyRule.REQUIRED
 
-    /** The route's rule; an answer that is no stream cannot be continued, but as it is held until it is whole, repeated. */
+    /**
+     * The route's rule; an answer that is no stream cannot be continued, but as it is held until it is whole,
+     * repeated.
+     */
     val dispatch: DispatchRule
         get() = if (route.dispatch == DispatchRule.RESUMABLE && !isStream) DispatchRule.REPEATABLE else route.dispatch
 }
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLink.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLink.kt
@@ -85,16 +85,15 @@
         }
     }
 
-    private suspend fun dial(): InnerConnection? =
-        try {
-            withTimeoutOrNull(settings.silenceMilliseconds) {
-                aSocket(selector).tcp().connect(instance.host, instance.port) { noDelay = true }
-            }?.let { InnerConnection(it, clock) }
-        } catch (exception: CancellationException) {
-            throw exception
-        } catch (_: Exception) {
-            null
-        }
+    private suspend fun dial(): InnerConnection? = try {
+        withTimeoutOrNull(settings.silenceMilliseconds) {
+            aSocket(selector).tcp().connect(instance.host, instance.port) { noDelay = true }
+        }?.let { InnerConnection(it, clock) }
+    } catch (exception: CancellationException) {
+        throw exception
+    } catch (_: Exception) {
+        null
+    }
 
     private suspend fun serve(fresh: InnerConnection, hello: Hello): Boolean {
         if (hello.name != instance.name) return false
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLinks.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLinks.kt
@@ -19,8 +19,8 @@
 
 /**
  * The connections to all sidecars that the platform lists. While the list cannot be read, the last one is kept. An
- * instance that the list no longer shows is kept too as long as its connection is up: the sidecar's own word counts more
- * than the lagging list.
+ * instance that the list no longer shows is kept too as long as its connection is up: the sidecar's own word counts
+ * more than the lagging list.
  */
 internal class SidecarLinks(
     private val settings: EntrySettings,
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/settings/EntrySettings.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/settings/EntrySettings.kt
@@ -16,7 +16,8 @@
  * @property sharedKeys keys of the connections between processes: the first one signs, all are accepted; 1 to 4 of at
  * least 16 characters
  * @property platformTimeoutMilliseconds longest wait for an answer of the platform, 10 to 60 000, default 1000
- * @property configurationPollMilliseconds pause between looks at the accepted configuration, 100 to 10 000, default 1000
+ * @property configurationPollMilliseconds pause between looks at the accepted configuration, 100 to 10 000, default
+ * 1000
  * @property instancePollMilliseconds pause between looks at the instance list, 100 to 10 000, default 1000
  * @property heartbeatMilliseconds pause between heartbeats on a connection, 10 to 1000, default 200
  * @property silenceMilliseconds silence after which a connection is replaced, at least three heartbeats, default 1000
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/settings/SettingsFile.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/settings/SettingsFile.kt
@@ -16,18 +16,16 @@
 /** Reads settings files. */
 internal object SettingsFile {
     /** Reads and checks [file]; the error lists everything that is wrong. */
-    fun <T : CheckedSettings> read(file: Path, serializer: KSerializer<T>): Either<DocumentError, T> =
-        readText(file)
-            .flatMap { text -> DocumentReader.read(file.toString(), text, serializer) }
-            .flatMap { settings -> checked(file, settings) }
+    fun <T : CheckedSettings> read(file: Path, serializer: KSerializer<T>): Either<DocumentError, T> = readText(file)
+        .flatMap { text -> DocumentReader.read(file.toString(), text, serializer) }
+        .flatMap { settings -> checked(file, settings) }
 
-    private fun readText(file: Path): Either<DocumentError, String> =
-        try {
-            Files.readString(file).right()
-        } catch (exception: IOException) {
-            val problem = Problem("$", file.toString(), "The file cannot be read: ${exception.javaClass.simpleName}.")
-            DocumentError(file.toString(), listOf(problem)).left()
-        }
+    private fun readText(file: Path): Either<DocumentError, String> = try {
+        Files.readString(file).right()
+    } catch (exception: IOException) {
+        val problem = Problem("$", file.toString(), "The file cannot be read: ${exception.javaClass.simpleName}.")
+        DocumentError(file.toString(), listOf(problem)).left()
+    }
 
     private fun <T : CheckedSettings> checked(file: Path, settings: T): Either<DocumentError, T> {
         val collector = ProblemCollector()
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/settings/SidecarSettings.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/settings/SidecarSettings.kt
@@ -13,13 +13,14 @@
  * @property innerPort port for entry instances, 1 to 65535
  * @property adminPort port for health, readiness and metrics, 1 to 65535
  * @property endpointUrl address of the endpoint
- * @property echoesRequestId whether the endpoint repeats the header `X-Request-Id` in its answers, default true; answers
- * that belong to another request are found out only then
+ * @property echoesRequestId whether the endpoint repeats the header `X-Request-Id` in its answers, default true;
+ * answers that belong to another request are found out only then
  * @property platformUrl address of the platform's services
  * @property sharedKeys keys of the connections between processes: the first one signs, all are accepted; 1 to 4 of at
  * least 16 characters
  * @property platformTimeoutMilliseconds longest wait for an answer of the platform, 10 to 60 000, default 1000
- * @property configurationPollMilliseconds pause between looks at the accepted configuration, 100 to 10 000, default 2000
+ * @property configurationPollMilliseconds pause between looks at the accepted configuration, 100 to 10 000, default
+ * 2000
  * @property heartbeatMilliseconds pause between heartbeats on a connection, 10 to 1000, default 200
  * @property silenceMilliseconds silence after which a connection is replaced, at least three heartbeats, default 1000
  * @property stopMilliseconds how long a stopping process waits for the last request, 0 to 3 600 000, default 120 000
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
@@ -1,7 +1,5 @@
 package org.guavahatch.daemon.sidecar
 
-import io.ktor.client.HttpClient
-import io.ktor.client.engine.cio.CIO
 import io.ktor.client.request.HttpRequestBuilder
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
@@ -9,15 +7,16 @@
 import io.ktor.client.request.url
 import io.ktor.client.statement.HttpResponse
 import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.ContentType
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
 import io.ktor.http.content.ByteArrayContent
-import io.ktor.http.ContentType
 import io.ktor.http.contentLength
 import io.ktor.http.contentType
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.CancellationException
+import org.guavahatch.platform.http.SingleTryClient
 import org.guavahatch.protocol.message.EndpointCall
 import org.guavahatch.protocol.message.FailureReason
 import java.net.ConnectException
@@ -49,34 +48,25 @@
  * @property echoesRequestId whether the endpoint repeats the request's id in its answers
  */
 internal class EndpointCaller(private val endpointUrl: String, private val echoesRequestId: Boolean) : AutoCloseable {
-    private val client = HttpClient(CIO) {
-        expectSuccess = false
-        engine {
-            requestTimeout = 0
-            maxConnectionsCount = MAXIMUM_CONNECTIONS
-            endpoint.maxConnectionsPerRoute = MAXIMUM_CONNECTIONS
-            endpoint.connectTimeout = CONNECT_MILLISECONDS
-        }
-    }
+    private val client = SingleTryClient.create(MAXIMUM_CONNECTIONS, CONNECT_MILLISECONDS)
 
     /** Sends [call] under the name [callId] and hands the answer to [sink]. */
-    suspend fun call(call: EndpointCall, callId: String, sink: AnswerSink): CallEnd =
-        try {
-            client.prepareRequest { build(call, callId) }.execute { response -> receive(response, callId, sink) }
-        } catch (exception: CancellationException) {
-            throw exception
-        } catch (_: ConnectException) {
-            CallEnd.NotSent
-        } catch (_: Exception) {
-            CallEnd.Failed(FailureReason.CUT)
-        }
+    suspend fun call(call: EndpointCall, callId: String, sink: AnswerSink): CallEnd = try {
+        client.prepareRequest { build(call, callId) }.execute { response -> receive(response, callId, sink) }
+    } catch (exception: CancellationException) {
+        throw exception
+    } catch (_: ConnectException) {
+        CallEnd.NotSent
+    } catch (_: Exception) {
+        CallEnd.Failed(FailureReason.CUT)
+    }
 
     private fun HttpRequestBuilder.build(call: EndpointCall, callId: String) {
         method = HttpMethod.parse(call.method)
         url(endpointUrl + call.path)
         header(REQUEST_ID, callId)
-        // A kept connection may be closed by the endpoint just as it is used again, which would leave it unknown whether
-        // the call was received.
+        // A kept connection may be closed by the endpoint just as it is used again, which would leave it unknown
+        // whether the call was received.
         header(HttpHeaders.Connection, "close")
         if (call.idempotencyKey.isNotEmpty()) header(IDEMPOTENCY_KEY, call.idempotencyKey)
         if (call.body.isNotEmpty()) setBody(ByteArrayContent(call.body, ContentType.parse(call.contentType)))
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EntryConnections.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EntryConnections.kt
@@ -21,7 +21,8 @@
     operator fun get(entry: Incarnation): InnerConnection? = byEntry[entry]?.connection
 
     /** Sets the connection of [entry]; returns the one that it replaces. */
-    fun set(entry: Incarnation, connection: EntryConnection): InnerConnection? = byEntry.put(entry, connection)?.connection
+    fun set(entry: Incarnation, connection: EntryConnection): InnerConnection? =
+        byEntry.put(entry, connection)?.connection
 
     /** Whether [connection] is the present one of [entry]. */
     fun isCurrent(entry: Incarnation, connection: InnerConnection): Boolean = this[entry] === connection
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EntryListener.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EntryListener.kt
@@ -23,11 +23,11 @@
 import org.guavahatch.protocol.message.ConfigurationContent
 import org.guavahatch.protocol.message.Heartbeat
 import org.guavahatch.protocol.message.Hello
+import org.guavahatch.protocol.message.Leaving
 import org.guavahatch.protocol.message.Message
 import org.guavahatch.protocol.message.PROTOCOL_VERSION
 import org.guavahatch.protocol.message.ProcessRole
 import org.guavahatch.protocol.message.RequestMessage
-import org.guavahatch.protocol.message.Leaving
 import org.tinylog.kotlin.Logger
 
 /** Accepts connections of entry instances. */
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EventStreamReader.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EventStreamReader.kt
@@ -54,12 +54,11 @@
         )
     }
 
-    private fun decode(data: String): Chunk? =
-        try {
-            if (data.startsWith("{")) json.decodeFromString<Chunk>(data) else null
-        } catch (_: SerializationException) {
-            null
-        }
+    private fun decode(data: String): Chunk? = try {
+        if (data.startsWith("{")) json.decodeFromString<Chunk>(data) else null
+    } catch (_: SerializationException) {
+        null
+    }
 
     private companion object {
         const val DATA = "data:"
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/Executions.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/Executions.kt
@@ -33,7 +33,7 @@
     private val scope: CoroutineScope,
     private val listener: ExecutionListener,
 ) {
-    private class Execution(val attempt: Int, val log: AnswerLog) {
+    private class HeldAnswer(val attempt: Int, val log: AnswerLog) {
         @Volatile
         var stopReason: StopReason? = null
 
@@ -41,20 +41,20 @@
         var job: Job? = null
     }
 
-    private val executions = ConcurrentHashMap<RequestId, Execution>()
+    private val answers = ConcurrentHashMap<RequestId, HeldAnswer>()
 
     /** Answers that are held. */
-    val held: Int get() = executions.size
+    val held: Int get() = answers.size
 
     /** Begins the call of [effect]; its answer goes to [connection]. */
     fun start(effect: EndpointEffect.Execute, connection: InnerConnection?) {
         val grant = effect.grant
-        val execution = Execution(grant.attempt, AnswerLog(grant, connection, windowBytes))
-        executions[grant.requestId] = execution
+        val execution = HeldAnswer(grant.attempt, AnswerLog(grant, connection, windowBytes))
+        answers[grant.requestId] = execution
         execution.job = scope.launch { run(effect, execution) }
     }
 
-    private suspend fun run(effect: EndpointEffect.Execute, execution: Execution) {
+    private suspend fun run(effect: EndpointEffect.Execute, execution: HeldAnswer) {
         val requestId = effect.grant.requestId
         val callId = "$requestId-${effect.grant.attempt}"
         var end: CallEnd = CallEnd.Failed(FailureReason.CANCELLED)
@@ -67,7 +67,7 @@
         }
     }
 
-    private fun sink(requestId: RequestId, execution: Execution) = object : AnswerSink {
+    private fun sink(requestId: RequestId, execution: HeldAnswer) = object : AnswerSink {
         override suspend fun head(status: Int, contentType: String) = execution.log.head(status, contentType)
 
         override suspend fun body(bytes: ByteArray, tokens: Int) {
@@ -77,21 +77,21 @@
         }
     }
 
-    private fun finish(requestId: RequestId, execution: Execution, end: CallEnd) {
+    private fun finish(requestId: RequestId, execution: HeldAnswer, end: CallEnd) {
         when (end) {
             is CallEnd.Whole -> execution.log.whole(end.promptTokens)
             is CallEnd.Failed -> execution.log.failed(reasonOf(execution, end))
-            CallEnd.NotSent -> executions.remove(requestId, execution)
+            CallEnd.NotSent -> answers.remove(requestId, execution)
         }
         metrics.count(DaemonCounter.CALLS, resultOf(end))
         listener.onEnded(requestId, wasDispatched = end != CallEnd.NotSent)
         scope.launch {
             delay(KEEP_MILLISECONDS)
-            executions.remove(requestId, execution)
+            answers.remove(requestId, execution)
         }
     }
 
-    private fun reasonOf(execution: Execution, end: CallEnd.Failed): FailureReason = when (execution.stopReason) {
+    private fun reasonOf(execution: HeldAnswer, end: CallEnd.Failed): FailureReason = when (execution.stopReason) {
         StopReason.PREEMPTED -> FailureReason.PREEMPTED
         StopReason.CANCELLED -> FailureReason.CANCELLED
         null -> end.reason
@@ -105,26 +105,26 @@
 
     /** Stops the call of [requestId]. */
     fun stop(requestId: RequestId, reason: StopReason) {
-        val execution = executions[requestId] ?: return
+        val execution = answers[requestId] ?: return
         execution.stopReason = reason
         execution.job?.cancel()
     }
 
     /** Sends the rest of an answer on [connection]; false if it is not held any more. */
     fun replay(effect: EndpointEffect.Replay, connection: InnerConnection): Boolean {
-        val execution = executions[effect.requestId]?.takeIf { it.attempt == effect.attempt } ?: return false
+        val execution = answers[effect.requestId]?.takeIf { it.attempt == effect.attempt } ?: return false
         execution.log.attach(connection, effect.offset, effect.hasHead)
         return true
     }
 
     /** Drops what the entry instance has of an answer. */
     fun acknowledge(requestId: RequestId, attempt: Int, offset: Long) {
-        executions[requestId]?.takeIf { it.attempt == attempt }?.log?.acknowledge(offset)
+        answers[requestId]?.takeIf { it.attempt == attempt }?.log?.acknowledge(offset)
     }
 
     /** Drops the answer to [requestId] altogether. */
     fun release(requestId: RequestId) {
-        executions.remove(requestId)
+        answers.remove(requestId)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarControl.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarControl.kt
@@ -69,7 +69,8 @@
             val pool = set.endpointPools.find { it.name == scheduler.pool }
             if (pool != null) perform(scheduler.onLimits(EndpointLimits.of(pool), now()))
             val isDrained = set.drains.any { drain ->
-                drain.pool == scheduler.pool && drain.endpoint == scheduler.endpoint.value &&
+                drain.pool == scheduler.pool &&
+                    drain.endpoint == scheduler.endpoint.value &&
                     drain.isInForce(clock.wallMilliseconds())
             }
             perform(scheduler.onDrain(isDrained, now()))
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/transport/Handshake.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/transport/Handshake.kt
@@ -18,7 +18,10 @@
      * @param hello makes this side's first message from a challenge
      * @return the other side's first message
      */
-    suspend fun perform(connection: InnerConnection, hello: (challenge: String) -> Hello): Either<ConnectionError, Hello> =
+    suspend fun perform(
+        connection: InnerConnection,
+        hello: (challenge: String) -> Hello,
+    ): Either<ConnectionError, Hello> =
         withTimeoutOrNull(timeoutMilliseconds) { exchange(connection, hello(keys.challenge())) }
             ?: ConnectionError.Closed(STEP, connection.peer, "No handshake within $timeoutMilliseconds ms.").left()
 
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/transport/InnerConnection.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/transport/InnerConnection.kt
@@ -2,7 +2,6 @@
 
 import arrow.core.Either
 import arrow.core.left
-import arrow.core.right
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.openReadChannel
 import io.ktor.network.sockets.openWriteChannel
--- a/model/src/main/kotlin/org/guavahatch/model/check/DocumentReader.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/check/DocumentReader.kt
@@ -44,12 +44,11 @@
         source: String,
         element: JsonElement,
         serializer: KSerializer<T>,
-    ): Either<DocumentError, T> =
-        try {
-            json.decodeFromJsonElement(serializer, element).right()
-        } catch (exception: IllegalArgumentException) {
-            DocumentError(source, listOf(Problem("$", "document", firstLine(exception)))).left()
-        }
+    ): Either<DocumentError, T> = try {
+        json.decodeFromJsonElement(serializer, element).right()
+    } catch (exception: IllegalArgumentException) {
+        DocumentError(source, listOf(Problem("$", "document", firstLine(exception)))).left()
+    }
 
     private fun syntaxProblem(text: String, exception: SerializationException): Problem {
         val offset = OFFSET.find(exception.message.orEmpty())?.groupValues?.get(1)?.toIntOrNull()
--- a/model/src/main/kotlin/org/guavahatch/model/check/ShapeCheck.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/check/ShapeCheck.kt
@@ -24,12 +24,11 @@
 
     fun check(element: JsonElement, descriptor: SerialDescriptor): List<Problem> = visit(element, descriptor, "$")
 
-    private fun visit(element: JsonElement, descriptor: SerialDescriptor, path: String): List<Problem> =
-        when {
-            element is JsonNull && descriptor.isNullable -> emptyList()
-            descriptor.isInline -> visit(element, descriptor.getElementDescriptor(0), path)
-            else -> visitKind(element, descriptor, path)
-        }
+    private fun visit(element: JsonElement, descriptor: SerialDescriptor, path: String): List<Problem> = when {
+        element is JsonNull && descriptor.isNullable -> emptyList()
+        descriptor.isInline -> visit(element, descriptor.getElementDescriptor(0), path)
+        else -> visitKind(element, descriptor, path)
+    }
 
     private fun visitKind(element: JsonElement, descriptor: SerialDescriptor, path: String): List<Problem> =
         when (descriptor.kind) {
@@ -45,7 +44,11 @@
         if (element !is JsonObject) return listOf(problem(path, element, "An object is needed here."))
         val known = (0 until descriptor.elementsCount).map(descriptor::getElementName)
         val unknown = element.keys.filterNot(known::contains).map { key ->
-            problem("$path.$key", element.getValue(key), "Unknown field '$key'. Known fields are: ${known.joinToString()}.")
+            problem(
+                "$path.$key",
+                element.getValue(key),
+                "Unknown field '$key'. Known fields are: ${known.joinToString()}.",
+            )
         }
         val inner = known.withIndex().flatMap { (index, name) -> visitField(element, descriptor, index, "$path.$name") }
         return unknown + inner
--- a/model/src/main/kotlin/org/guavahatch/model/configuration/ConfigurationCheck.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/configuration/ConfigurationCheck.kt
@@ -91,7 +91,11 @@
         collector.require(route.pathPrefix.startsWith("/"), "$here.pathPrefix", route.pathPrefix) {
             "A path starts with '/'."
         }
-        collector.require(route.pathPrefix.startsWith(route.removedPrefix), "$here.removedPrefix", route.removedPrefix) {
+        collector.require(
+            route.pathPrefix.startsWith(route.removedPrefix),
+            "$here.removedPrefix",
+            route.removedPrefix,
+        ) {
             "The path prefix '${route.pathPrefix}' has to start with it."
         }
         collector.require(route.methods.isNotEmpty(), "$here.methods", "[]") { "At least one method is required." }
@@ -132,12 +136,18 @@
         collector.require(drain.endpoint.isNotBlank(), "$here.endpoint", drain.endpoint) {
             "The name of an endpoint is needed here."
         }
-        collector.require(drain.expiresAtMilliseconds >= 0, "$here.expiresAtMilliseconds", drain.expiresAtMilliseconds) {
+        collector.require(
+            drain.expiresAtMilliseconds >= 0,
+            "$here.expiresAtMilliseconds",
+            drain.expiresAtMilliseconds,
+        ) {
             "Allowed are 0 (never) and milliseconds since 1970."
         }
     }
 
     private fun checkReference(collector: ProblemCollector, path: String, value: String, allowed: List<String>) {
-        collector.require(value in allowed, path, value) { "Unknown name '$value'. Known are: ${allowed.joinToString()}." }
+        collector.require(value in allowed, path, value) {
+            "Unknown name '$value'. Known are: ${allowed.joinToString()}."
+        }
     }
 }
--- a/model/src/main/kotlin/org/guavahatch/model/configuration/ConfigurationVersion.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/configuration/ConfigurationVersion.kt
@@ -10,10 +10,8 @@
  * @property contentHash SHA-256 of the published text, in hexadecimal digits; empty for none
  */
 @Serializable
-public data class ConfigurationVersion(
-    public val number: Long,
-    public val contentHash: String,
-) : Comparable<ConfigurationVersion> {
+public data class ConfigurationVersion(public val number: Long, public val contentHash: String) :
+    Comparable<ConfigurationVersion> {
     override fun compareTo(other: ConfigurationVersion): Int = number.compareTo(other.number)
 
     override fun toString(): String = "$number/${contentHash.take(SHORT_HASH_LENGTH)}"
--- a/protocol/src/main/kotlin/org/guavahatch/protocol/frame/MessageCodec.kt
+++ b/protocol/src/main/kotlin/org/guavahatch/protocol/frame/MessageCodec.kt
@@ -27,11 +27,10 @@
 
     /** The message in [payload], or what is wrong with it. Never throws, whatever the bytes are. */
     @Suppress("TooGenericExceptionCaught")
-    public fun decode(payload: ByteArray): Either<MalformedFrame, Message> =
-        try {
-            cbor.decodeFromByteArray(Message.serializer(), payload).right()
-        } catch (exception: Exception) {
-            // The CBOR decoder signals bad input by several unrelated exception types.
-            MalformedFrame("The payload of ${payload.size} bytes is no message: ${exception.message}.").left()
-        }
+    public fun decode(payload: ByteArray): Either<MalformedFrame, Message> = try {
+        cbor.decodeFromByteArray(Message.serializer(), payload).right()
+    } catch (exception: Exception) {
+        // The CBOR decoder signals bad input by several unrelated exception types.
+        MalformedFrame("The payload of ${payload.size} bytes is no message: ${exception.message}.").left()
+    }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/DispatchEffect.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/DispatchEffect.kt
@@ -24,11 +24,7 @@
     ) : DispatchEffect
 
     /** Ask for the rest of the answer of [attempt]. */
-    public data class SendAttach(
-        val endpoint: EndpointId,
-        val requestId: RequestId,
-        val attempt: Int,
-    ) : DispatchEffect
+    public data class SendAttach(val endpoint: EndpointId, val requestId: RequestId, val attempt: Int) : DispatchEffect
 
     /** Tell the caller that its request ends with [outcome], unless it has the whole answer. Comes once a request. */
     public data class Conclude(val requestId: RequestId, val outcome: Outcome) : DispatchEffect
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/TrackedRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/TrackedRequest.kt
@@ -9,11 +9,7 @@
     data object Waiting : Phase
 
     /** The sidecar [sidecar] of [endpoint] may run it; [lostSince] is when the connection to it was lost. */
-    data class Granted(
-        val endpoint: EndpointId,
-        val sidecar: Incarnation,
-        val lostSince: Long? = null,
-    ) : Phase
+    data class Granted(val endpoint: EndpointId, val sidecar: Incarnation, val lostSince: Long? = null) : Phase
 }
 
 /** How far the claim of a request's idempotency key has got. */
@@ -24,7 +20,7 @@
 }
 
 /** A request that an entry instance holds. */
-internal class TrackedRequest(val specification: RequestSpecification, val sinceMilliseconds: Long) {
+internal class TrackedRequest(val specification: RequestSpecification) {
     val requestId = specification.requestId
     var phase: Phase = Phase.Waiting
     var claim = if (specification.needsClaim) ClaimState.PENDING else ClaimState.NOT_NEEDED
@@ -42,7 +38,6 @@
     /** Endpoints that have a reservation for the request while its claim is pending. */
     val readyAt = LinkedHashSet<EndpointId>()
 
-    /** When the request is to be offered to all endpoints of its pool. */
-    var widenAtMilliseconds = 0L
+    /** Whether the request is offered to all endpoints of its pool. */
     var isWide = false
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointEffect.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointEffect.kt
@@ -21,12 +21,8 @@
     public data class Stop(val requestId: RequestId, val reason: StopReason) : EndpointEffect
 
     /** Send the frames of the request's answer, from where its entry instance has them, on the current connection. */
-    public data class Replay(
-        val requestId: RequestId,
-        val attempt: Int,
-        val offset: Long,
-        val hasHead: Boolean,
-    ) : EndpointEffect
+    public data class Replay(val requestId: RequestId, val attempt: Int, val offset: Long, val hasHead: Boolean) :
+        EndpointEffect
 
     /** The answer of the request is not needed any more. */
     public data class Release(val requestId: RequestId) : EndpointEffect
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
@@ -23,8 +23,8 @@
 import org.guavahatch.scheduling.queue.TieredQueue
 
 /**
- * The decisions of a sidecar: which offered request gets room at the endpoint next, and what was dispatched. A request
- * is dispatched only on a grant for which room is reserved, so each attempt is dispatched at most once. Pure: it returns
+ * The decisions of a sidecar: which offered request gets room at the endpoint next, and what was dispatched. A call
+ * is made only on a grant for which room is reserved, so each attempt is dispatched at most once. Pure: it returns
  * effects and performs none. Not safe for use by several threads.
  *
  * @property endpoint the endpoint
@@ -240,16 +240,15 @@
             reserve(nowMilliseconds)
     }
 
-    private fun expireReservations(nowMilliseconds: Long): List<EndpointEffect> =
-        running.all
-            .filter { !it.isGranted && it.startedMilliseconds + settings.reservationMilliseconds <= nowMilliseconds }
-            .map { expired ->
-                running.remove(expired.offer.requestId)
-                EndpointEffect.Send(
-                    expired.entry,
-                    OfferRefused(expired.offer.requestId, RefusalReason.NO_RESERVATION),
-                )
-            }
+    private fun expireReservations(nowMilliseconds: Long): List<EndpointEffect> = running.all
+        .filter { !it.isGranted && it.startedMilliseconds + settings.reservationMilliseconds <= nowMilliseconds }
+        .map { expired ->
+            running.remove(expired.offer.requestId)
+            EndpointEffect.Send(
+                expired.entry,
+                OfferRefused(expired.offer.requestId, RefusalReason.NO_RESERVATION),
+            )
+        }
 
     private fun expireOffers(nowMilliseconds: Long): List<EndpointEffect> {
         offers.filterValues { it.queued.deadlineMilliseconds <= nowMilliseconds }.keys.forEach(::dropOffer)
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/RunningRequests.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/RunningRequests.kt
@@ -25,8 +25,7 @@
         tokens += request.offer.tokens
     }
 
-    fun remove(requestId: RequestId): RunningRequest? =
-        byId.remove(requestId)?.also { tokens -= it.offer.tokens }
+    fun remove(requestId: RequestId): RunningRequest? = byId.remove(requestId)?.also { tokens -= it.offer.tokens }
 
     fun hasRoomFor(offer: Offer, limits: EndpointLimits): Boolean = when {
         byId.isEmpty() -> true
--- a/standins/src/main/kotlin/org/guavahatch/standins/engine/Generation.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/Generation.kt
@@ -39,8 +39,10 @@
         private const val CHARACTERS_PER_TOKEN = 4
         private const val SEED_FACTOR = 1_000_003L
         private const val SHORTEST_SHARE = 0.25
-        private val WORDS = ("fleece coat small large red blue warm stock order gate water field ward turn rota clerk " +
-            "season brief plan north south branch channel ledger farmer hour week grey wool lining hood sleeve").split(" ")
+        private val WORDS = (
+            "fleece coat small large red blue warm stock order gate water field ward turn rota clerk " +
+                "season brief plan north south branch channel ledger farmer hour week grey wool lining hood sleeve"
+            ).split(" ")
 
         fun tokensOf(text: String): Int = maxOf(1, text.length / CHARACTERS_PER_TOKEN)
 
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/DemoMain.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/DemoMain.kt
@@ -19,17 +19,11 @@
 
     override fun run() {
         val work = Files.createDirectories(Path.of(directory))
-        val platform = PlatformProcess.start(work)
         val demos = listOf(
-            Demo("frost-fleece", frostFleece, Path.of(examples, "frost-fleece"), platform, work),
-            Demo("song-lam", songLam, Path.of(examples, "song-lam"), platform, work),
+            Demo(frostFleece, Path.of(examples, "frost-fleece"), work),
+            Demo(songLam, Path.of(examples, "song-lam"), work),
         )
         val summaries = demos.map { it.run(isKept) }
-        if (isKept) {
-            println("demo: kept running; platform ${platform.url}, logs in $work")
-        } else {
-            platform.close()
-        }
         val total = summaries.reduce(DemoSummary::plus)
         println("demo: $total")
         exitProcess(if (total.wrong == 0 && total.isStoppedGracefully) 0 else 1)
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
@@ -103,8 +103,7 @@
     private fun start(name: String, mainClass: String, arguments: List<String>) =
         ManagedProcess.start(name, directory.resolve("$name.log"), mainClass, arguments)
 
-    private fun write(file: String, text: String): String =
-        Files.writeString(directory.resolve(file), text).toString()
+    private fun write(file: String, text: String): String = Files.writeString(directory.resolve(file), text).toString()
 
     private fun sidecarSettings(endpoint: RunningEndpoint) = """
         {
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/DeploymentPlan.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/DeploymentPlan.kt
@@ -65,7 +65,8 @@
         endpoints += PlannedEndpoint("$pool-$number", pool, zones[endpoints.size % zones.size], arguments)
     }
 
-    internal fun build() = DeploymentPlan(name, zones, entryInstances, endpoints.toList(), entrySettings, sidecarSettings)
+    internal fun build() =
+        DeploymentPlan(name, zones, entryInstances, endpoints.toList(), entrySettings, sidecarSettings)
 }
 
 /** Plans the deployment [name]. */
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/LocalHttp.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/LocalHttp.kt
@@ -44,10 +44,9 @@
     }
 
     /** Whether [url] answers with status 200 at once. */
-    fun isOk(url: String): Boolean =
-        try {
-            get(url).statusCode() == STATUS_OK
-        } catch (_: IOException) {
-            false
-        }
+    fun isOk(url: String): Boolean = try {
+        get(url).statusCode() == STATUS_OK
+    } catch (_: IOException) {
+        false
+    }
 }
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
@@ -52,7 +52,8 @@
         /** Starts [mainClass] with this process's class path; its output goes to [log]. */
         fun start(name: String, log: Path, mainClass: String, arguments: List<String>): ManagedProcess {
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-            val command = listOf(java) + FLAGS + listOf("-cp", System.getProperty("java.class.path"), mainClass) + arguments
+            val command =
+                listOf(java) + FLAGS + listOf("-cp", System.getProperty("java.class.path"), mainClass) + arguments
             val output = ProcessBuilder.Redirect.appendTo(log.toFile())
             val process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start()
             return ManagedProcess(name, process)
