--- a/cli/src/main/kotlin/org/guavahatch/cli/command/CheckCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/CheckCommand.kt
@@ -1,6 +1,7 @@
 package org.guavahatch.cli.command
 
 import org.guavahatch.model.configuration.ConfigurationReader
+import org.guavahatch.model.configuration.ConfigurationSet
 import org.kohsuke.args4j.Argument
 
 /** Checks a configuration file without any other process. */
@@ -16,12 +17,17 @@
                 Command.EXIT_USAGE
             },
             { set ->
-                println(
-                    "$file: ${set.tiers.size} tiers, ${set.clientAccounts.size} client accounts, " +
-                        "${set.endpointPools.size} endpoint pools, ${set.routes.size} routes, ${set.drains.size} drains: valid",
-                )
+                println("$file: ${summary(set)}: valid")
                 Command.EXIT_OK
             },
         )
     }
+
+    private fun summary(set: ConfigurationSet): String = listOf(
+        "${set.tiers.size} tiers",
+        "${set.clientAccounts.size} client accounts",
+        "${set.endpointPools.size} endpoint pools",
+        "${set.routes.size} routes",
+        "${set.drains.size} drains",
+    ).joinToString()
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/RequestDispatcher.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/RequestDispatcher.kt
@@ -185,6 +185,8 @@
     private fun onForgotten(endpoint: EndpointId, forgotten: Forgotten): List<DispatchEffect> {
         val request = grantedTo(endpoint, forgotten.requestId, forgotten.attempt) ?: return emptyList()
         endings.endAttempt(request)
+        request.mayHaveRun = true
+        if (request.isConcluded) return listOf(endings.forget(request))
         return endings.conclude(request, Outcome.Unknown(UnknownReason.SIDECAR_LOST))
     }
 
