--- a/cli/src/main/kotlin/org/guavahatch/cli/report/ReportCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/report/ReportCommand.kt
@@ -71,9 +71,8 @@
             val burns = group.windows.joinToString("  ") { window ->
                 "%d s: worst %.2f, last %.2f".format(Locale.ROOT, window.windowSeconds, window.worst, window.last)
             }
-            println(
-                "$label ${group.name}: ${group.good} of ${group.sent} in time, objective ${group.objectivePercent} %  $burns",
-            )
+            val share = "${group.good} of ${group.sent} in time, objective ${group.objectivePercent} %"
+            println("$label ${group.name}: $share  $burns")
         }
     }
 
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/interleaving/FaultSchedule.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/interleaving/FaultSchedule.kt
@@ -16,16 +16,25 @@
     }
 
     private fun step() {
-        when (random.nextInt(if (withFaults) 100 else 80)) {
+        if (withFaults && random.nextInt(5) == 0) fault() else progress()
+    }
+
+    private fun progress() {
+        when (random.nextInt(80)) {
             in 0..7 -> submit()
             in 8..44 -> deliver()
             in 45..59 -> world.sidecars.random(random).let { if (!it.isFrozen) it.endOne() }
-            in 60..79 -> passTime(random.nextLong(1, 30))
-            in 80..85 -> cut(world.wires.random(random))
-            in 86..93 -> open(world.wires.random(random))
-            in 94..95 -> world.sidecars.random(random).let { it.isFrozen = !it.isFrozen }
-            in 96..97 -> crashSidecar(world.sidecars.random(random))
-            98 -> crashEntry(world.entries.random(random))
+            else -> passTime(random.nextLong(1, 30))
+        }
+    }
+
+    private fun fault() {
+        when (random.nextInt(20)) {
+            in 0..5 -> cut(world.wires.random(random))
+            in 6..13 -> open(world.wires.random(random))
+            in 14..15 -> world.sidecars.random(random).let { it.isFrozen = !it.isFrozen }
+            in 16..17 -> crashSidecar(world.sidecars.random(random))
+            18 -> crashEntry(world.entries.random(random))
             else -> leave(world.sidecars.random(random))
         }
     }
@@ -51,29 +60,35 @@
     }
 
     private fun deliver() {
-        val busy = world.wires.filter { (it.toEntry.isNotEmpty()) || (it.toSidecar.isNotEmpty() && !it.sidecar.isFrozen) }
+        val busy = world.wires.filter {
+            (it.toEntry.isNotEmpty()) || (it.toSidecar.isNotEmpty() && !it.sidecar.isFrozen)
+        }
         val wire = busy.randomOrNull(random) ?: return
         val goesToSidecar = wire.toSidecar.isNotEmpty() && !wire.sidecar.isFrozen
         if (goesToSidecar && (wire.toEntry.isEmpty() || random.nextBoolean())) {
-            wire.sidecar.receive(wire.entry.incarnation, wire.toSidecar.removeFirst())
+            val message = wire.toSidecar.removeFirst()
+            repeat(copies()) { wire.sidecar.receive(wire.entry.incarnation, message) }
         } else if (wire.toEntry.isNotEmpty()) {
-            wire.entry.receive(wire.sidecar.endpoint, wire.toEntry.removeFirst())
+            val message = wire.toEntry.removeFirst()
+            repeat(copies()) { wire.entry.receive(wire.sidecar.endpoint, message) }
         }
     }
 
-    /** The entry instance notices at once; the sidecar when the next connection comes or time passes. */
+    private fun copies() = if (withFaults && random.nextInt(25) == 0) 2 else 1
+
+    /** The entry instance notices at once; the sidecar goes on reading until the next connection comes. */
     private fun cut(wire: Wire) {
         if (!wire.isOpen) return
         wire.isOpen = false
         wire.isHalfOpen = true
         wire.toEntry.clear()
-        wire.toSidecar.clear()
         wire.entry.perform(wire.entry.dispatcher.onMemberDown(wire.sidecar.endpoint, world.nowMs))
     }
 
     private fun noticeLoss(wire: Wire) {
         if (!wire.isHalfOpen) return
         wire.isHalfOpen = false
+        wire.toSidecar.clear()
         wire.sidecar.perform(wire.sidecar.scheduler.onEntryLost(wire.entry.incarnation, world.nowMs))
     }
 
@@ -97,7 +112,10 @@
         world.wires.filter { it.sidecar === sidecar }.forEach(::cut)
         sidecar.restart()
         sidecar.isFrozen = false
-        world.wires.filter { it.sidecar === sidecar }.forEach { it.isHalfOpen = false }
+        world.wires.filter { it.sidecar === sidecar }.forEach {
+            it.isHalfOpen = false
+            it.toSidecar.clear()
+        }
     }
 
     private fun crashEntry(entry: EntryNode) {
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/interleaving/World.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/interleaving/World.kt
@@ -54,7 +54,12 @@
 
     private fun perform(effect: DispatchEffect) {
         when (effect) {
-            is DispatchEffect.Send -> world.wire(this, effect.endpoint).let { if (it.isOpen) it.toSidecar += effect.message }
+            is DispatchEffect.Send -> world.wire(this, effect.endpoint).let {
+                if (it.isOpen) {
+                    it.toSidecar +=
+                        effect.message
+                }
+            }
             is DispatchEffect.SendGrant -> sendGrant(effect)
             is DispatchEffect.SendAttach -> world.wire(this, effect.endpoint).let {
                 if (it.isOpen) it.toSidecar += Attach(effect.requestId, effect.attempt, 0, hasHead = false)
--- a/standins/src/main/kotlin/org/guavahatch/standins/Main.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/Main.kt
@@ -3,6 +3,7 @@
 import org.guavahatch.standins.application.ApplicationMain
 import org.guavahatch.standins.engine.EngineMain
 import org.guavahatch.standins.launch.DemoMain
+import org.guavahatch.standins.launch.OverheadMain
 import org.guavahatch.standins.platform.PlatformMain
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
@@ -16,14 +17,15 @@
     fun run()
 }
 
-/** Starts what the first argument names: `engine`, `application`, `platform` or `demo`. */
+/** Starts what the first argument names: `engine`, `application`, `platform`, `demo` or `overhead`. */
 fun main(arguments: Array<String>) {
     val standIn: StandIn = when (arguments.firstOrNull()) {
         "engine" -> EngineMain()
         "application" -> ApplicationMain()
         "platform" -> PlatformMain()
         "demo" -> DemoMain()
-        else -> usage("Allowed are: engine, application, platform, demo.")
+        "overhead" -> OverheadMain()
+        else -> usage("Allowed are: engine, application, platform, demo, overhead.")
     }
     try {
         CmdLineParser(standIn).parseArgument(arguments.drop(1))
--- a/standins/src/main/kotlin/org/guavahatch/standins/application/ApplicationMain.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/application/ApplicationMain.kt
@@ -24,6 +24,7 @@
 import org.guavahatch.standins.web.standInJson
 import org.guavahatch.standins.web.standInServer
 import org.kohsuke.args4j.Option
+import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
@@ -45,7 +46,10 @@
     @Option(name = "--service-milliseconds", usage = "time that a call takes")
     private var serviceMilliseconds = 5L
 
-    private val records = ServedRecords()
+    @Option(name = "--records-file", usage = "file that keeps the records over restarts")
+    private var recordsFile: String? = null
+
+    private val records by lazy { ServedRecords(recordsFile?.let(Path::of)) }
     private val calls = AtomicInteger()
 
     @Volatile
--- a/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineMain.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineMain.kt
@@ -15,6 +15,7 @@
 import org.guavahatch.standins.web.respondJson
 import org.guavahatch.standins.web.standInServer
 import org.kohsuke.args4j.Option
+import java.nio.file.Path
 
 /** Command line of the stand-in engine. */
 internal class EngineMain : StandIn {
@@ -33,6 +34,9 @@
     @Option(name = "--ignore-fencing", usage = "apply orders with old fencing numbers too")
     private var ignoreFencing = false
 
+    @Option(name = "--records-file", usage = "file that keeps the records over restarts")
+    private var recordsFile: String? = null
+
     @Serializable
     private data class Control(val slowdown: Double)
 
@@ -57,7 +61,7 @@
     }
 
     private fun Routing.routes(engine: BatchEngine, orders: EngineOrders, reports: LaggingReport<EngineLoad>) {
-        val records = ServedRecords()
+        val records = ServedRecords(recordsFile?.let(Path::of))
         val chat = ChatRoutes(engine, records)
         post("/v1/chat/completions") { chat.complete(call) }
         post("/v1/requests/{id}/cancel") { call.respondJson(chat.cancel(call.parameters["id"].orEmpty())) }
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
@@ -84,7 +84,9 @@
 
     /** Starts the stand-in of [endpoint]. */
     fun startEndpoint(endpoint: RunningEndpoint) {
-        val arguments = endpoint.plan.arguments + listOf("--port", endpoint.endpointPort.toString())
+        val records = directory.resolve("${endpoint.name}.records").toString()
+        val arguments = endpoint.plan.arguments +
+            listOf("--port", endpoint.endpointPort.toString(), "--records-file", records)
         endpoint.endpoint = start("${endpoint.name}-endpoint", STAND_IN_MAIN, arguments)
     }
 
@@ -100,8 +102,10 @@
         entry.process = start(entry.name, DAEMON_MAIN, listOf("entry", "--settings", settings))
     }
 
-    private fun start(name: String, mainClass: String, arguments: List<String>) =
-        ManagedProcess.start(name, directory.resolve("$name.log"), mainClass, arguments)
+    private fun start(name: String, mainClass: String, arguments: List<String>): ManagedProcess {
+        val options = if (plan.isMeasured) ManagedProcess.MEASURED else ManagedProcess.SMALL
+        return ManagedProcess.start(name, directory.resolve("$name.log"), mainClass, arguments, options)
+    }
 
     private fun write(file: String, text: String): String = Files.writeString(directory.resolve(file), text).toString()
 
@@ -145,7 +149,8 @@
     /** Runs the operators' command line; returns its exit code and what it printed. */
     fun operate(vararg arguments: String): OperatorResult {
         val log = Files.createTempFile(directory, "operator", ".log")
-        val process = ManagedProcess.start("guavahatch", log, OPERATOR_MAIN, arguments.toList())
+        val options = if (plan.isMeasured) ManagedProcess.MEASURED else ManagedProcess.SMALL
+        val process = ManagedProcess.start("guavahatch", log, OPERATOR_MAIN, arguments.toList(), options)
         return OperatorResult(process.exitCode(), Files.readString(log))
     }
 
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/DeploymentPlan.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/DeploymentPlan.kt
@@ -24,6 +24,7 @@
  * @property endpoints endpoints
  * @property entrySettings settings of entry instances that differ from the defaults, as JSON fields
  * @property sidecarSettings settings of sidecars that differ from the defaults, as JSON fields
+ * @property isMeasured whether the processes are to run as fast as they can
  */
 class DeploymentPlan internal constructor(
     val name: String,
@@ -32,6 +33,7 @@
     val endpoints: List<PlannedEndpoint>,
     val entrySettings: String,
     val sidecarSettings: String,
+    internal val isMeasured: Boolean,
 )
 
 /** Builds a [DeploymentPlan]. */
@@ -50,6 +52,9 @@
     /** Further settings of sidecars, as JSON fields, each followed by a comma. */
     var sidecarSettings: String = ""
 
+    /** Whether the processes are to run as fast as they can, and not as small as they can. */
+    var isMeasured: Boolean = false
+
     /** Adds model engines, one for each of [speeds]. */
     fun engines(pool: String, vararg speeds: Double, extra: List<String> = emptyList()) {
         speeds.forEach { speed -> add(pool, listOf("engine", "--speed", speed.toString()) + extra) }
@@ -65,8 +70,15 @@
         endpoints += PlannedEndpoint("$pool-$number", pool, zones[endpoints.size % zones.size], arguments)
     }
 
-    internal fun build() =
-        DeploymentPlan(name, zones, entryInstances, endpoints.toList(), entrySettings, sidecarSettings)
+    internal fun build() = DeploymentPlan(
+        name,
+        zones,
+        entryInstances,
+        endpoints.toList(),
+        entrySettings,
+        sidecarSettings,
+        isMeasured,
+    )
 }
 
 /** Plans the deployment [name]. */
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
@@ -41,7 +41,8 @@
     }
 
     internal companion object {
-        private val FLAGS = listOf(
+        /** Options of the virtual machine for many short-lived processes on one machine. */
+        val SMALL = listOf(
             "-Xmx160m",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
@@ -49,11 +50,20 @@
             "-Xshare:auto",
         )
 
+        /** Options of the virtual machine for measurements. */
+        val MEASURED = listOf("-Xmx256m", "-XX:+UseSerialGC", "-Xshare:auto")
+
         /** Starts [mainClass] with this process's class path; its output goes to [log]. */
-        fun start(name: String, log: Path, mainClass: String, arguments: List<String>): ManagedProcess {
+        fun start(
+            name: String,
+            log: Path,
+            mainClass: String,
+            arguments: List<String>,
+            options: List<String> = SMALL,
+        ): ManagedProcess {
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-            val command =
-                listOf(java) + FLAGS + listOf("-cp", System.getProperty("java.class.path"), mainClass) + arguments
+            val classPath = listOf("-cp", System.getProperty("java.class.path"))
+            val command = listOf(java) + options + classPath + mainClass + arguments
             val output = ProcessBuilder.Redirect.appendTo(log.toFile())
             val process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start()
             return ManagedProcess(name, process)
--- a/standins/src/main/kotlin/org/guavahatch/standins/web/ServedRecord.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/web/ServedRecord.kt
@@ -1,9 +1,13 @@
 package org.guavahatch.standins.web
 
 import kotlinx.serialization.Serializable
+import java.nio.file.Files
+import java.nio.file.Path
+import java.nio.file.StandardOpenOption
 import java.security.MessageDigest
 import java.util.HexFormat
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.io.path.exists
 
 /**
  * What a stand-in did for one caller's request.
@@ -15,20 +19,41 @@
 @Serializable
 internal data class ServedRecord(val name: String, val executions: Int, val answerHash: String)
 
-/** Counts executions and keeps answers' hashes by the callers' names of requests. */
-internal class ServedRecords {
+/**
+ * Counts executions and keeps answers' hashes by the callers' names of requests.
+ *
+ * @property file where each change is written before it counts, so that the records outlive a killed stand-in; null to
+ * keep them in memory only
+ */
+internal class ServedRecords(private val file: Path?) {
     private val records = ConcurrentHashMap<String, ServedRecord>()
 
-    val all: List<ServedRecord> get() = records.values.sortedBy { it.name }
+    init {
+        if (file != null && file.exists()) Files.readAllLines(file).forEach(::load)
+    }
 
-    operator fun get(name: String): ServedRecord? = records[name]
+    val all: List<ServedRecord> get() = records.values.sortedBy { it.name }
 
+    /** Notes that the work of [name] begins. */
     fun begin(name: String) {
-        records.merge(name, ServedRecord(name, 1, "")) { old, _ -> old.copy(executions = old.executions + 1) }
+        store(records.merge(name, ServedRecord(name, 1, "")) { old, _ -> old.copy(executions = old.executions + 1) })
     }
 
+    /** Notes the whole answer to [name]. */
     fun answered(name: String, content: String) {
         val hash = HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(content.toByteArray()))
-        records.computeIfPresent(name) { _, old -> old.copy(answerHash = hash) }
+        store(records.computeIfPresent(name) { _, old -> old.copy(answerHash = hash) })
+    }
+
+    private fun load(line: String) {
+        val record = standInJson.decodeFromString<ServedRecord>(line)
+        records[record.name] = record
+    }
+
+    @Synchronized
+    private fun store(record: ServedRecord?) {
+        if (file == null || record == null) return
+        val line = standInJson.encodeToString(record) + "\n"
+        Files.writeString(file, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND)
     }
 }
