Count the work of applications in an endpoint's speed

Ruled out: a leak of reservations (those expire after 250 ms) and stuck calls (none unknown).

Change: a call without tokens adds its cost at its end, a stream its prompt's cost at its first token, and an idle endpoint takes every offer, so that a wrong estimate corrects itself.

--- a/cli/src/main/kotlin/org/guavahatch/cli/load/LoadMix.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/LoadMix.kt
@@ -12,7 +12,12 @@
  * @property requests kinds of requests; at least one
  */
 @Serializable
-internal data class LoadMix(val seed: Long = 1, val arrivals: List<ArrivalCorner>, val requests: List<RequestKind>) {
+internal data class LoadMix(
+    val seed: Long = 1,
+    val warmUpSeconds: Double = 0.0,
+    val arrivals: List<ArrivalCorner>,
+    val requests: List<RequestKind>,
+) {
     /** Reports everything that is wrong to [problems]. */
     fun check(problems: ProblemCollector) {
         problems.require(arrivals.size >= 2, "$.arrivals", "${arrivals.size} corners") { "At least two are needed." }
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/ResultBuilder.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/ResultBuilder.kt
@@ -11,7 +11,12 @@
     private const val MILLISECONDS_PER_SECOND = 1000
 
     /** The result of a load of [mix]. */
-    fun build(mix: LoadMix, measurements: List<Measurement>, wrong: List<WrongAnswer>): LoadResult = LoadResult(
+    fun build(mix: LoadMix, all: List<Measurement>, wrong: List<WrongAnswer>): LoadResult {
+        val warmUp = mix.warmUpSeconds * MILLISECONDS_PER_SECOND
+        return buildMeasured(mix, all.filter { it.planned.atMilliseconds >= warmUp }, wrong)
+    }
+
+    private fun buildMeasured(mix: LoadMix, measurements: List<Measurement>, wrong: List<WrongAnswer>) = LoadResult(
         seed = mix.seed,
         seconds = mix.arrivals.last().atSeconds,
         total = group("all", measurements),
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/Executions.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/Executions.kt
@@ -19,7 +19,7 @@
 
 /** Tells the scheduler how the calls of the endpoint go. */
 internal interface ExecutionListener {
-    fun onProgress(requestId: RequestId, tokens: Int, hasFirstToken: Boolean)
+    fun onProgress(requestId: RequestId, tokens: Int)
 
     fun onEnded(requestId: RequestId, wasDispatched: Boolean)
 }
@@ -73,7 +73,7 @@
         override suspend fun body(bytes: ByteArray, tokens: Int) {
             execution.log.awaitRoom()
             execution.log.body(bytes, tokens)
-            if (tokens > 0) listener.onProgress(requestId, tokens, hasFirstToken = true)
+            if (tokens > 0) listener.onProgress(requestId, tokens)
         }
     }
 
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarControl.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarControl.kt
@@ -89,8 +89,8 @@
     /** Requests that are reserved or running, and answers that were not acknowledged. */
     suspend fun unfinished(): Int = control.call { maxOf(scheduler.runningRequests, executions.held) }
 
-    override fun onProgress(requestId: RequestId, tokens: Int, hasFirstToken: Boolean) {
-        control.post { perform(scheduler.onProgress(requestId, tokens.toDouble(), hasFirstToken, now())) }
+    override fun onProgress(requestId: RequestId, tokens: Int) {
+        control.post { perform(scheduler.onProgress(requestId, tokens, now())) }
     }
 
     override fun onEnded(requestId: RequestId, wasDispatched: Boolean) {
--- a/protocol/src/main/kotlin/org/guavahatch/protocol/message/Message.kt
+++ b/protocol/src/main/kotlin/org/guavahatch/protocol/message/Message.kt
@@ -131,6 +131,7 @@
  * @property share weight of the account
  * @property route name of the route
  * @property cost estimated cost, see `CostModel`
+ * @property promptCost part of the cost that is for the prompt
  * @property tokens estimated tokens of prompt and output, 0 for applications
  * @property remainingMilliseconds time to the deadline when the message was sent
  * @property dispatch how often the request may be dispatched
@@ -145,6 +146,7 @@
     public val share: Int,
     public val route: String,
     public val cost: Double,
+    public val promptCost: Double,
     public val tokens: Long,
     public val remainingMilliseconds: Long,
     public val dispatch: DispatchRule,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/OfferBoard.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/OfferBoard.kt
@@ -61,6 +61,7 @@
             share = specification.share,
             route = specification.route,
             cost = specification.cost,
+            promptCost = specification.promptCost,
             tokens = specification.tokens,
             remainingMilliseconds = specification.deadlineMilliseconds - nowMilliseconds,
             dispatch = specification.dispatch,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
@@ -165,21 +165,21 @@
         }
     }
 
-    /** Notes progress of a running request: [cost] worked off, and whether its first token has come. */
-    public fun onProgress(
-        requestId: RequestId,
-        cost: Double,
-        hasFirstToken: Boolean,
-        nowMilliseconds: Long,
-    ): List<EndpointEffect> {
+    /** Notes that [tokens] tokens of a running request's output were generated. */
+    public fun onProgress(requestId: RequestId, tokens: Int, nowMilliseconds: Long): List<EndpointEffect> {
         val request = running[requestId] ?: return emptyList()
-        request.workedCost += cost
-        speed.add(cost)
-        if (!hasFirstToken || request.hasFirstToken) return emptyList()
+        work(request, tokens.toDouble())
+        if (request.hasFirstToken) return emptyList()
         request.hasFirstToken = true
+        work(request, request.offer.promptCost)
         return reserve(nowMilliseconds)
     }
 
+    private fun work(request: RunningRequest, cost: Double) {
+        request.workedCost += cost
+        speed.add(cost)
+    }
+
     /**
      * Notes that the call of a request has ended, however it ended.
      *
@@ -191,6 +191,8 @@
         nowMilliseconds: Long,
     ): List<EndpointEffect> {
         val request = running.remove(requestId) ?: return emptyList()
+        // A call without tokens shows no progress before its end.
+        if (wasDispatched && !request.hasFirstToken) speed.add(request.offer.cost)
         ledger.end(requestId, nowMilliseconds)
         speed.setBusy(running.size > 0, nowMilliseconds)
         val refusal = GrantRefused(requestId, request.offer.attempt, RefusalReason.ENDPOINT_UNREACHABLE)
@@ -296,7 +298,9 @@
     private fun refusal(offer: QueuedOffer, reason: RefusalReason): EndpointEffect =
         EndpointEffect.Send(offer.entry, OfferRefused(offer.offer.requestId, reason))
 
+    /** An idle endpoint takes every offer, so that a wrong estimate of its speed corrects itself. */
     private fun isFeasible(offer: QueuedOffer, nowMilliseconds: Long): Boolean {
+        if (running.size == 0) return true
         val expected = MILLISECONDS_PER_SECOND * offer.offer.cost / speed.costPerSecond
         return nowMilliseconds + settings.feasibilityFactor * expected < offer.queued.deadlineMilliseconds
     }
