Prove silent connections and the order of tiers in a burst

TierInversionTest runs the real dispatchers and schedulers in virtual time: 4 entry instances, 6 endpoints, digests 2 s old, three seconds at ten times the capacity, 10 seeds.

--- /dev/null
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/tier/BurstSimulation.kt
@@ -0,0 +1,179 @@
+package org.guavahatch.scheduling.tier
+
+import org.guavahatch.model.configuration.DispatchRule
+import org.guavahatch.model.identity.EndpointId
+import org.guavahatch.model.identity.Incarnation
+import org.guavahatch.model.identity.RequestId
+import org.guavahatch.model.outcome.Outcome
+import org.guavahatch.protocol.message.EndpointCall
+import org.guavahatch.protocol.message.Grant
+import org.guavahatch.protocol.message.Message
+import org.guavahatch.protocol.message.RequestMessage
+import org.guavahatch.scheduling.choice.ExpectedCompletionChooser
+import org.guavahatch.scheduling.dispatch.DispatchEffect
+import org.guavahatch.scheduling.dispatch.RequestDispatcher
+import org.guavahatch.scheduling.dispatch.RequestSpecification
+import org.guavahatch.scheduling.endpoint.EndpointEffect
+import org.guavahatch.scheduling.endpoint.EndpointLimits
+import org.guavahatch.scheduling.endpoint.EndpointScheduler
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+/**
+ * Several entry instances before several endpoints, in virtual time, with digests that are two seconds old and a burst of
+ * ten times the capacity in the middle. Endpoints serve one call per slot, of a fixed time.
+ */
+internal class BurstSimulation(seed: Int) {
+    private class Event(val atMs: Long, val number: Int, val run: () -> Unit)
+
+    private val random = Random(seed)
+    private val events = PriorityQueue(compareBy<Event> { it.atMs }.thenBy { it.number })
+    private var eventCount = 0
+    private var nowMs = 0L
+    val records = mutableListOf<TierRecord>()
+    private val ranks = HashMap<RequestId, Int>()
+
+    private val entries = List(ENTRIES) { Incarnation("entry$it") }
+    private val dispatchers = entries.map { RequestDispatcher(ExpectedCompletionChooser(), { false }, Random(seed)) }
+    private val endpoints = List(ENDPOINTS) { EndpointId("endpoint$it") }
+    private val schedulers = endpoints.map {
+        EndpointScheduler(it, POOL, Incarnation("$it.1"), EndpointLimits(SLOTS, Long.MAX_VALUE, SLOTS))
+    }
+
+    fun run() {
+        connect()
+        arrivals()
+        for (atMs in 0L..END_MS step 10L) at(atMs) { tick() }
+        for (atMs in 0L..END_MS step DIGEST_MS) at(atMs) { digests() }
+        while (events.isNotEmpty()) {
+            val event = events.remove()
+            nowMs = event.atMs
+            event.run()
+        }
+    }
+
+    private fun at(atMs: Long, run: () -> Unit) {
+        events += Event(atMs, eventCount++, run)
+    }
+
+    private fun later(delayMs: Long, run: () -> Unit) = at(nowMs + delayMs, run)
+
+    private fun connect() = dispatchers.indices.forEach { entry ->
+        endpoints.forEach { endpoint ->
+            val effects = dispatchers[entry].onMemberUp(endpoint, POOL, Incarnation("$endpoint.1"), true, 0)
+            performEntry(entry, effects)
+        }
+    }
+
+    private fun arrivals() {
+        var atMs = 0.0
+        val sequences = LongArray(ENTRIES)
+        while (atMs < LAST_ARRIVAL_MS) {
+            val load = if (atMs.toLong() in BURST_MS) 10.0 else 0.7
+            atMs += -kotlin.math.ln(1 - random.nextDouble()) * SERVICE_MS / (ENDPOINTS * SLOTS * load)
+            val entry = random.nextInt(ENTRIES)
+            val requestId = RequestId(entries[entry], ++sequences[entry])
+            val rank = random.nextInt(4)
+            val patience = random.nextLong(300, 1500)
+            at(atMs.toLong()) { submit(entry, requestId, rank, patience) }
+        }
+    }
+
+    private fun submit(entry: Int, requestId: RequestId, rank: Int, patienceMs: Long) {
+        ranks[requestId] = rank
+        records += TierRecord.Accepted(requestId, rank, nowMs)
+        val specification = RequestSpecification(
+            requestId = requestId,
+            pool = POOL,
+            route = "route",
+            account = "account",
+            share = 1,
+            rank = rank,
+            dispatch = DispatchRule.AT_MOST_ONCE,
+            needsClaim = false,
+            cost = 1.0,
+            promptCost = 0.0,
+            tokens = 0,
+            prefixBlocks = emptyList(),
+            deadlineMilliseconds = nowMs + patienceMs,
+        )
+        performEntry(entry, dispatchers[entry].onSubmit(specification, nowMs))
+    }
+
+    private fun tick() {
+        dispatchers.indices.forEach { performEntry(it, dispatchers[it].onTick(nowMs)) }
+        schedulers.indices.forEach { performEndpoint(it, schedulers[it].onTick(nowMs)) }
+    }
+
+    private fun digests() = schedulers.forEachIndexed { endpoint, scheduler ->
+        val digest = scheduler.digest()
+        entries.indices.forEach { entry -> later(DIGEST_MS) { toEntry(entry, endpoint, digest) } }
+    }
+
+    private fun performEntry(entry: Int, effects: List<DispatchEffect>) = effects.forEach { effect ->
+        when (effect) {
+            is DispatchEffect.Send -> toEndpoint(entry, effect.endpoint, effect.message)
+            is DispatchEffect.SendGrant -> {
+                val call = EndpointCall("POST", "/", "", "", ByteArray(0))
+                val remaining = effect.remainingMilliseconds
+                val grant = Grant(effect.requestId, effect.sidecar, effect.attempt, remaining, call)
+                toEndpoint(entry, effect.endpoint, grant)
+            }
+            is DispatchEffect.Conclude -> conclude(effect)
+            else -> Unit
+        }
+    }
+
+    private fun conclude(effect: DispatchEffect.Conclude) {
+        if (effect.outcome !is Outcome.NotRun) return
+        records += TierRecord.Shed(effect.requestId, ranks.getValue(effect.requestId), nowMs)
+    }
+
+    private fun toEndpoint(entry: Int, endpoint: EndpointId, message: Message) {
+        val index = endpoints.indexOf(endpoint)
+        later(LATENCY_MS) {
+            val effects = schedulers[index].onMessage(entries[entry], message as RequestMessage, nowMs)
+            performEndpoint(index, effects)
+        }
+    }
+
+    private fun toEntry(entry: Int, endpoint: Int, message: Message) {
+        performEntry(entry, dispatchers[entry].onMessage(endpoints[endpoint], message, nowMs))
+    }
+
+    private fun performEndpoint(endpoint: Int, effects: List<EndpointEffect>) = effects.forEach { effect ->
+        when (effect) {
+            is EndpointEffect.Send -> {
+                val entry = entries.indexOf(effect.entry)
+                later(LATENCY_MS) { toEntry(entry, endpoint, effect.message) }
+            }
+            is EndpointEffect.Execute -> start(endpoint, effect)
+            else -> Unit
+        }
+    }
+
+    private fun start(endpoint: Int, effect: EndpointEffect.Execute) {
+        val requestId = effect.grant.requestId
+        records += TierRecord.Started(requestId, ranks.getValue(requestId), nowMs)
+        later(SERVICE_MS.toLong()) {
+            val entry = entries.indexOf(effect.entry)
+            later(LATENCY_MS) {
+                performEntry(entry, dispatchers[entry].onAnswerWhole(requestId, effect.grant.attempt))
+            }
+            performEndpoint(endpoint, schedulers[endpoint].onExecutionEnded(requestId, wasDispatched = true, nowMs))
+        }
+    }
+
+    internal companion object {
+        const val POOL = "pool"
+        const val ENTRIES = 4
+        const val ENDPOINTS = 6
+        const val SLOTS = 4
+        const val SERVICE_MS = 80.0
+        const val LATENCY_MS = 1L
+        const val DIGEST_MS = 2000L
+        const val LAST_ARRIVAL_MS = 9000.0
+        const val END_MS = 12_000L
+        val BURST_MS = 3000L..6000L
+    }
+}
--- a/standins/src/main/kotlin/org/guavahatch/standins/Main.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/Main.kt
@@ -2,6 +2,7 @@
 
 import org.guavahatch.standins.application.ApplicationMain
 import org.guavahatch.standins.engine.EngineMain
+import org.guavahatch.standins.launch.CapacityMain
 import org.guavahatch.standins.launch.DemoMain
 import org.guavahatch.standins.launch.OverheadMain
 import org.guavahatch.standins.platform.PlatformMain
@@ -17,7 +18,10 @@
     fun run()
 }
 
-/** Starts what the first argument names: `engine`, `application`, `platform`, `demo` or `overhead`. */
+/**
+ * Starts what the first argument names: `engine`, `application`, `platform`, `demo`, `overhead` or
+ * `capacity`.
+ */
 fun main(arguments: Array<String>) {
     val standIn: StandIn = when (arguments.firstOrNull()) {
         "engine" -> EngineMain()
@@ -25,7 +29,8 @@
         "platform" -> PlatformMain()
         "demo" -> DemoMain()
         "overhead" -> OverheadMain()
-        else -> usage("Allowed are: engine, application, platform, demo, overhead.")
+        "capacity" -> CapacityMain()
+        else -> usage("Allowed are: engine, application, platform, demo, overhead, capacity.")
     }
     try {
         CmdLineParser(standIn).parseArgument(arguments.drop(1))
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
@@ -11,6 +11,7 @@
     internal val plan: PlannedEndpoint,
     val endpointPort: Int,
     val innerPort: Int,
+    internal val listedPort: Int,
     val adminPort: Int,
 ) {
     val name: String get() = plan.name
@@ -49,7 +50,10 @@
     private val directory: Path,
 ) : AutoCloseable {
     val endpoints: List<RunningEndpoint> =
-        plan.endpoints.map { RunningEndpoint(it, FreePorts.next(), FreePorts.next(), FreePorts.next()) }
+        plan.endpoints.map { endpoint ->
+            val innerPort = FreePorts.next()
+            RunningEndpoint(endpoint, FreePorts.next(), innerPort, plan.listedPort(innerPort), FreePorts.next())
+        }
 
     val entries: List<RunningEntry> = List(plan.entryInstances) { index ->
         val zone = plan.zones[index % plan.zones.size]
@@ -140,7 +144,7 @@
     /** Tells the platform which sidecars there are; those of [without] are left out. */
     fun listInstances(without: Set<RunningEndpoint> = emptySet()) {
         val listed = (endpoints - without).map {
-            ListedInstance(it.name, it.plan.pool, it.plan.zone, "127.0.0.1", it.innerPort)
+            ListedInstance(it.name, it.plan.pool, it.plan.zone, "127.0.0.1", it.listedPort)
         }
         val document = standInJson.encodeToString(ListSerializer(ListedInstance.serializer()), listed)
         LocalHttp.put("${platform.url}/instances/${plan.name}", document)
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/DeploymentPlan.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/DeploymentPlan.kt
@@ -25,6 +25,7 @@
  * @property entrySettings settings of entry instances that differ from the defaults, as JSON fields
  * @property sidecarSettings settings of sidecars that differ from the defaults, as JSON fields
  * @property isMeasured whether the processes are to run as fast as they can
+ * @property listedPort gives the port that the platform lists for a sidecar's own port
  */
 class DeploymentPlan internal constructor(
     val name: String,
@@ -34,6 +35,7 @@
     val entrySettings: String,
     val sidecarSettings: String,
     internal val isMeasured: Boolean,
+    internal val listedPort: (Int) -> Int,
 )
 
 /** Builds a [DeploymentPlan]. */
@@ -55,6 +57,9 @@
     /** Whether the processes are to run as fast as they can, and not as small as they can. */
     var isMeasured: Boolean = false
 
+    /** Gives the port that the platform lists for a sidecar's own port; called once for each sidecar. */
+    var listedPort: (Int) -> Int = { it }
+
     /** Adds model engines, one for each of [speeds]. */
     fun engines(pool: String, vararg speeds: Double, extra: List<String> = emptyList()) {
         speeds.forEach { speed -> add(pool, listOf("engine", "--speed", speed.toString()) + extra) }
@@ -78,6 +83,7 @@
         entrySettings,
         sidecarSettings,
         isMeasured,
+        listedPort,
     )
 }
 
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
@@ -1,6 +1,8 @@
 package org.guavahatch.standins.launch
 
+import java.nio.file.Files
 import java.nio.file.Path
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 
 /**
@@ -36,11 +38,22 @@
     /** Waits for the end of the process; returns its exit code. */
     fun exitCode(): Int = process.waitFor()
 
+    /** Processor time that the process has used. */
+    internal fun processorTime(): Duration = process.info().totalCpuDuration().orElse(Duration.ZERO)
+
+    /** Resident memory of the process, read from the proc file system. */
+    internal fun residentMegabytes(): Double {
+        val line = Files.readAllLines(Path.of("/proc/$processId/status")).first { it.startsWith("VmRSS:") }
+        return line.filter { it.isDigit() }.toDouble() / KILOBYTES_PER_MEGABYTE
+    }
+
     private fun signal(name: String) {
         ProcessBuilder("kill", "-$name", processId.toString()).inheritIO().start().waitFor()
     }
 
     internal companion object {
+        private const val KILOBYTES_PER_MEGABYTE = 1024.0
+
         /** Options of the virtual machine for many short-lived processes on one machine. */
         val SMALL = listOf(
             "-Xmx160m",
