--- a/cli/src/test/kotlin/org/guavahatch/cli/process/SilentConnectionTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/SilentConnectionTest.kt
@@ -4,7 +4,9 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
-/** Open connections between processes go silent for good while new ones work. Requests in flight finish all the same. */
+/**
+ * Open connections between processes go silent for good while new ones work. Requests in flight finish all the same.
+ */
 class SilentConnectionTest {
     private val proxies = mutableListOf<SilencingProxy>()
     private val frostFleece = FrostFleece {
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/tier/BurstSimulation.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/tier/BurstSimulation.kt
@@ -20,8 +20,8 @@
 import kotlin.random.Random
 
 /**
- * Several entry instances before several endpoints, in virtual time, with digests that are two seconds old and a burst of
- * ten times the capacity in the middle. Endpoints serve one call per slot, of a fixed time.
+ * Several entry instances before several endpoints, in virtual time, with digests that are two seconds old and a
+ * burst of ten times the capacity in the middle. Endpoints serve one call per slot, of a fixed time.
  */
 internal class BurstSimulation(seed: Int) {
     private class Event(val atMs: Long, val number: Int, val run: () -> Unit)
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/tier/InversionChecker.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/tier/InversionChecker.kt
@@ -25,8 +25,8 @@
 
 /**
  * Finds inversions in the records of all processes together, without the code that decides. A lower request counts as
- * served in place of a shed one if it was started in the time in which the shed one waited, less [spreadMs] at the start,
- * in which the news of a request spreads over the pool.
+ * served in place of a shed one if it was started in the time in which the shed one waited, less [spreadMs] at the
+ * start, in which the news of a request spreads over the pool.
  */
 internal class InversionChecker(private val spreadMs: Long) {
     fun inversions(records: List<TierRecord>): List<Inversion> {
