Give engines their orders under a fenced lease

A pool's engineSettings say what its engines are set to. The sidecar holds a lease row with a fencing number, reads the engine's state back every second and orders what differs. A new holder takes over at once where the engine checks numbers, and otherwise after the old lease and the bound on pauses.

FencedLeaseTest: 300 schedules on the faulty table, no number with two holders. EngineOrderTest: the old sidecar is frozen, a second one started on other ports, a new model published, the old one woken: engines that check numbers and engines that ignore them end with the new model, and take orders 1 and 2 in this order.

An idle sidecar sends its digest with every tenth heartbeat and on change, not with each.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/observation/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/observation/DaemonMetrics.kt
@@ -67,6 +67,9 @@
     /** Failed calls to the platform. */
     PLATFORM_ERRORS("guavahatch.platform.errors", "step"),
 
+    /** Orders to the engine, by result. */
+    ENGINE_ORDERS("guavahatch.engine.orders", "result"),
+
     /** Claims of idempotency keys, by result. */
     CLAIMS("guavahatch.claims", "result"),
     ;
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EntryListener.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EntryListener.kt
@@ -21,9 +21,9 @@
 import org.guavahatch.model.time.Clock
 import org.guavahatch.protocol.message.Acknowledge
 import org.guavahatch.protocol.message.ConfigurationContent
+import org.guavahatch.protocol.message.Digest
 import org.guavahatch.protocol.message.Heartbeat
 import org.guavahatch.protocol.message.Hello
-import org.guavahatch.protocol.message.Leaving
 import org.guavahatch.protocol.message.Message
 import org.guavahatch.protocol.message.PROTOCOL_VERSION
 import org.guavahatch.protocol.message.ProcessRole
@@ -95,10 +95,15 @@
         }
     }
 
+    /** An unchanged digest is sent with every tenth heartbeat only. */
     private suspend fun keepAlive(connection: InnerConnection) {
+        var sent: Digest? = null
+        var heartbeats = 0
         connection.keepAlive(settings.heartbeatMilliseconds, settings.silenceMilliseconds) {
             val digest = control.digest
-            listOfNotNull(Heartbeat(version()), digest, Leaving.takeUnless { digest.isAccepting })
+            val isDue = digest != sent || heartbeats++ % DIGEST_HEARTBEATS == 0
+            sent = digest
+            listOfNotNull(Heartbeat(version()), digest.takeIf { isDue })
         }
     }
 
@@ -140,4 +145,8 @@
             Logger.warn("event=connection-refused step={} peer={} detail={}", error.step, error.peer, error.detail)
         }
     }
+
+    private companion object {
+        const val DIGEST_HEARTBEATS = 10
+    }
 }
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarProcess.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/SidecarProcess.kt
@@ -19,6 +19,7 @@
 import org.guavahatch.platform.http.HttpObjectStore
 import org.guavahatch.platform.http.HttpTableService
 import org.guavahatch.platform.http.PlatformClient
+import org.guavahatch.platform.lease.FencedLease
 import org.guavahatch.platform.publication.AppliedConfiguration
 import org.guavahatch.platform.publication.ConfigurationStore
 import org.guavahatch.scheduling.endpoint.EndpointLimits
@@ -37,7 +38,8 @@
     private val connections = EntryConnections()
     private val applied = AppliedConfiguration()
     private val platform = PlatformClient(settings.platformUrl, settings.platformTimeoutMilliseconds)
-    private val store = ConfigurationStore(HttpTableService(platform), HttpObjectStore(platform))
+    private val table = HttpTableService(platform)
+    private val store = ConfigurationStore(table, HttpObjectStore(platform))
     private val scheduler =
         EndpointScheduler(EndpointId(settings.name), settings.pool, incarnation, LIMITS_BEFORE_CONFIGURATION)
     private val control = SidecarControl(scheduler, controlThread, clock, connections, metrics)
@@ -47,6 +49,10 @@
         ConfigurationWatcher(store, applied, metrics, settings.configurationPollMilliseconds) {
             control.onConfiguration(it.set)
         }
+    private val lease = FencedLease(table, clock, settings.name, incarnation.value)
+    private val engineOrders = EngineOrders(settings.endpointUrl, lease, metrics) {
+        applied.inForce?.set?.endpointPools?.find { it.name == settings.pool }
+    }
     private val admin = AdminServer(settings.host, settings.adminPort, metrics, ::isReady, ::status)
 
     @Volatile
@@ -57,6 +63,7 @@
         control.start()
         controlThread.every(DRAIN_CHECK_MILLISECONDS) { applied.inForce?.let { control.onConfiguration(it.set) } }
         watcher.start(scope)
+        engineOrders.start(scope)
         listener().start()
         admin.start()
         Logger.info("event=started role=sidecar name={} incarnation={}", settings.name, incarnation)
@@ -100,6 +107,7 @@
         admin.stop()
         scope.cancel()
         caller.close()
+        engineOrders.close()
         platform.close()
         controlThread.close()
     }
--- a/model/src/main/kotlin/org/guavahatch/model/configuration/ConfigurationCheck.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/configuration/ConfigurationCheck.kt
@@ -7,6 +7,7 @@
 public object ConfigurationCheck {
     private val NAME = Regex("[a-z0-9][a-z0-9-]{0,62}")
     private val METHODS = setOf("GET", "POST", "PUT", "DELETE", "PATCH")
+    private val ENGINE_SETTINGS = listOf("model", "adapter", "version", "role")
     private val HASH = Regex("[0-9a-fA-F]{64}")
     private val DEADLINE_MILLISECONDS = 1L..3_600_000L
     private val BODY_BYTES = 0L..8_388_608L
@@ -79,6 +80,13 @@
         collector.requireRange("$here.maximumConcurrent", pool.maximumConcurrent.toLong(), CONCURRENT, "requests")
         collector.requireRange("$here.maximumTokens", pool.maximumTokens, TOKENS, "tokens")
         collector.requireRange("$here.maximumPrefills", pool.maximumPrefills.toLong(), CONCURRENT, "requests")
+        pool.engineSettings.forEachIndexed { position, setting ->
+            checkReference(collector, "$here.engineSettings[$position].name", setting.name, ENGINE_SETTINGS)
+        }
+        val isOrdered = pool.engineSettings.isNotEmpty()
+        collector.require(!isOrdered || pool.kind == PoolKind.MODEL, "$here.engineSettings", pool.engineSettings) {
+            "Only engines of model pools take orders."
+        }
         collector.require(set.routes.any { it.pool == pool.name }, "$here.name", pool.name) {
             "No route uses the pool."
         }
--- a/model/src/main/kotlin/org/guavahatch/model/configuration/EndpointPool.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/configuration/EndpointPool.kt
@@ -26,6 +26,8 @@
  * 1 to 100 000 000, default 200 000; for model pools
  * @property maximumPrefills requests that a sidecar has at its endpoint before their first token, 1 to 4096, default 4;
  * for model pools
+ * @property engineSettings what the engines are set to by orders, default nothing; for model pools
+ * @property checksFencing whether the engines refuse orders with an old fencing number, default true
  */
 @Serializable
 public data class EndpointPool(
@@ -35,4 +37,6 @@
     public val maximumConcurrent: Int = 16,
     public val maximumTokens: Long = 200_000,
     public val maximumPrefills: Int = 4,
+    public val engineSettings: List<EngineSetting> = emptyList(),
+    public val checksFencing: Boolean = true,
 )
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/CapacityMain.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/CapacityMain.kt
@@ -19,7 +19,7 @@
     private var directory = ""
 
     @Option(name = "--seconds", usage = "how long each size is measured")
-    private var seconds = 10L
+    private var seconds = 15L
 
     /**
      * What one size cost.
@@ -83,7 +83,7 @@
     private companion object {
         val SIDECARS = listOf(2, 8, 16, 32)
         val ENTRIES = listOf(1, 4, 8, 16)
-        const val SETTLE_MILLISECONDS = 4000L
+        const val SETTLE_MILLISECONDS = 15_000L
         const val PERCENT = 100.0
         const val MILLISECONDS = 1000.0
     }
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
@@ -10,10 +10,27 @@
 class RunningEndpoint internal constructor(
     internal val plan: PlannedEndpoint,
     val endpointPort: Int,
-    val innerPort: Int,
-    internal val listedPort: Int,
-    val adminPort: Int,
+    innerPort: Int,
+    listedPort: Int,
+    adminPort: Int,
 ) {
+    /** Port of the sidecar for entry instances. */
+    var innerPort: Int = innerPort
+        private set
+
+    internal var listedPort: Int = listedPort
+        private set
+
+    /** Port of the sidecar for operators. */
+    var adminPort: Int = adminPort
+        private set
+
+    internal fun moveTo(newInnerPort: Int, newAdminPort: Int) {
+        innerPort = newInnerPort
+        listedPort = newInnerPort
+        adminPort = newAdminPort
+    }
+
     val name: String get() = plan.name
 
     /** Address of the stand-in. */
@@ -100,6 +117,19 @@
         endpoint.sidecar = start(endpoint.name, DAEMON_MAIN, listOf("sidecar", "--settings", settings))
     }
 
+    /**
+     * Starts a second sidecar for [endpoint] on other ports after [strike] was done to the present one, and lists it in
+     * place of the old one; returns the old one.
+     */
+    fun replaceSidecar(endpoint: RunningEndpoint, strike: (ManagedProcess) -> Unit): ManagedProcess {
+        val old = endpoint.sidecar
+        strike(old)
+        endpoint.moveTo(FreePorts.next(), FreePorts.next())
+        startSidecar(endpoint)
+        listInstances()
+        return old
+    }
+
     /** Starts [entry], or a new run of it. */
     fun startEntry(entry: RunningEntry) {
         val settings = write("${entry.name}.jsonc", entrySettings(entry))
