Publish cache events late and with gaps in the engine's stand-in

The stand-in lacked the events that engines publish of their prefix caches. It shows them 500 ms late and leaves out one in seven.

--- a/standins/src/main/kotlin/org/guavahatch/standins/engine/BatchEngine.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/BatchEngine.kt
@@ -24,7 +24,12 @@
     private val arrivals = ConcurrentLinkedQueue<Generation>()
     private val wake = Channel<Unit>(Channel.CONFLATED)
     private val batch = ArrayList<Generation>()
-    private val cache = PrefixCache(settings.cacheTokens)
+    private val cache = PrefixCache(settings.cacheTokens) { change, block ->
+        cacheEvents.add(System.currentTimeMillis(), change, block)
+    }
+
+    /** Changes of the prefix cache, as the engine publishes them. */
+    val cacheEvents = CacheEvents(settings.cacheEventLagMilliseconds, settings.lostCacheEventEveryNth)
 
     /** Factor by which the engine is slower than its settings say. */
     @Volatile
--- a/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineMain.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineMain.kt
@@ -66,6 +66,10 @@
         post("/v1/chat/completions") { chat.complete(call) }
         post("/v1/requests/{id}/cancel") { call.respondJson(chat.cancel(call.parameters["id"].orEmpty())) }
         get("/load") { call.respondJson(reports.get()) }
+        get("/cache-events") {
+            val since = call.request.queryParameters["since"]?.toLongOrNull() ?: 0
+            call.respondJson(engine.cacheEvents.after(since, System.currentTimeMillis()))
+        }
         get("/statistics") { call.respondJson(engine.computedPromptTokens) }
         get("/records") { call.respondJson(records.all) }
         get("/orders") { call.respondJson(orders.state()) }
--- a/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineSettings.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/EngineSettings.kt
@@ -12,6 +12,8 @@
  * @property cacheTokens tokens of prefixes that are cached, default 40 000
  * @property speed factor that all times are divided by, default 1.0
  * @property reportLagMilliseconds age of the load report, default 1000
+ * @property cacheEventLagMilliseconds age from which cache events are published, default 500
+ * @property lostCacheEventEveryNth one cache event in so many is never published, default 7
  * @property checksFencing whether orders with an old fencing number are refused
  */
 internal data class EngineSettings(
@@ -24,5 +26,7 @@
     val cacheTokens: Int = 40_000,
     val speed: Double = 1.0,
     val reportLagMilliseconds: Long = 1000,
+    val cacheEventLagMilliseconds: Long = 500,
+    val lostCacheEventEveryNth: Int = 7,
     val checksFencing: Boolean = true,
 )
--- a/standins/src/main/kotlin/org/guavahatch/standins/engine/PrefixCache.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/engine/PrefixCache.kt
@@ -1,7 +1,7 @@
 package org.guavahatch.standins.engine
 
 /** Least recently used cache of prompt prefixes, in blocks of 64 tokens. */
-internal class PrefixCache(cacheTokens: Int) {
+internal class PrefixCache(cacheTokens: Int, private val onChange: (CacheChange, Long) -> Unit) {
     private val maximumBlocks = cacheTokens / BLOCK_TOKENS
     private val blocks = LinkedHashMap<Long, Unit>(INITIAL_CAPACITY, LOAD_FACTOR, true)
 
@@ -14,12 +14,17 @@
             hash = hash * HASH_FACTOR + block.hashCode()
             isCached = isCached && hash in blocks
             if (isCached) cachedBlocks++
-            blocks[hash] = Unit
+            if (blocks.put(hash, Unit) == null) onChange(CacheChange.STORED, hash)
         }
-        while (blocks.size > maximumBlocks) blocks.remove(blocks.keys.first())
+        while (blocks.size > maximumBlocks) evict(blocks.keys.first())
         return cachedBlocks * BLOCK_TOKENS
     }
 
+    private fun evict(block: Long) {
+        blocks.remove(block)
+        onChange(CacheChange.EVICTED, block)
+    }
+
     private companion object {
         const val BLOCK_TOKENS = 64
         const val BLOCK_CHARACTERS = 256
