--- a/cli/src/main/kotlin/org/guavahatch/cli/Commands.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/Commands.kt
@@ -1,5 +1,6 @@
 package org.guavahatch.cli
 
+import org.guavahatch.cli.bench.BenchCommand
 import org.guavahatch.cli.command.CheckCommand
 import org.guavahatch.cli.command.ClaimsCommand
 import org.guavahatch.cli.command.Command
@@ -32,6 +33,7 @@
         "claims" to Entry("lists claims without an outcome") { ClaimsCommand() },
         "hash-key" to Entry("hashes a client key for the configuration") { HashKeyCommand() },
         "load" to Entry("sends a load and measures the answers") { LoadCommand() },
+        "bench" to Entry("compares scheduling policies in virtual time") { BenchCommand() },
         "report" to Entry("reports service-level burn from a load's result") { ReportCommand() },
     )
 
--- a/cli/src/test/kotlin/org/guavahatch/cli/process/FrozenSidecarTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/FrozenSidecarTest.kt
@@ -8,8 +8,8 @@
 import kotlin.test.assertTrue
 
 /**
- * Freezes the sidecars of all applications at random moments while orders arrive, until their callers have been answered,
- * and thaws them. What was told is compared with what was executed.
+ * Freezes the sidecars of all applications at random moments while orders arrive, until their callers have been
+ * answered, and thaws them. What was told is compared with what was executed.
  */
 class FrozenSidecarTest {
     private val frostFleece = FrostFleece()
