Preempt streams only when a deadline is at risk

Cause of the wasted prefill: a running stream was stopped for any higher request that had waited 200 ms, and its prompt was computed again elsewhere. Ruled out: deadlines that pass while running (0.017 of the prefill in the same scenario without preemption's share).

Change: half of the time to the deadline (preemptionShare).

--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointScheduler.kt
@@ -268,7 +268,7 @@
     private fun preempt(nowMilliseconds: Long): List<EndpointEffect> {
         val waiting = queue.first()?.let { offers[it.requestId] } ?: return emptyList()
         if (running.hasRoomFor(waiting.offer, limits) || running.all.any { it.isStopping }) return emptyList()
-        val delay = minOf(settings.preemptionDelayMilliseconds, waiting.offer.remainingMilliseconds / QUARTER)
+        val delay = (settings.preemptionShare * waiting.offer.remainingMilliseconds).toLong()
         if (nowMilliseconds - waiting.sinceMs < delay) return emptyList()
         val victim = running.all
             .filter { it.isPreemptible && it.offer.rank > waiting.offer.rank }
@@ -318,7 +318,6 @@
     )
 
     private companion object {
-        const val QUARTER = 4
         const val MILLISECONDS_PER_SECOND = 1000.0
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointSchedulerSettings.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/endpoint/EndpointSchedulerSettings.kt
@@ -5,8 +5,8 @@
  *
  * @property maximumOffers offers that are queued at once, default 20 000
  * @property reservationMilliseconds how long room is kept for a request whose grant has not come, default 250
- * @property preemptionDelayMilliseconds how long an offer waits before a running stream of a lower tier is stopped for
- * it, default 200; a quarter of the offer's remaining time where that is less
+ * @property preemptionShare share of its time to the deadline that an offer waits before a running stream of a lower
+ * tier is stopped for it, 0 to 1, default 0.5
  * @property orphanMilliseconds how long a stream whose entry instance has gone is kept running, default 5000
  * @property rememberMilliseconds how long an ended request is remembered, default 120 000
  * @property feasibilityFactor share of the expected duration that must be left before the deadline for a request to be
@@ -16,7 +16,7 @@
 public data class EndpointSchedulerSettings(
     public val maximumOffers: Int = 20_000,
     public val reservationMilliseconds: Long = 250,
-    public val preemptionDelayMilliseconds: Long = 200,
+    public val preemptionShare: Double = 0.5,
     public val orphanMilliseconds: Long = 5000,
     public val rememberMilliseconds: Long = 120_000,
     public val feasibilityFactor: Double = 0.5,
