--- a/protocol/src/main/kotlin/org/guavahatch/protocol/message/EndpointCall.kt
+++ b/protocol/src/main/kotlin/org/guavahatch/protocol/message/EndpointCall.kt
@@ -1,5 +1,6 @@
 package org.guavahatch.protocol.message
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
 
@@ -12,6 +13,7 @@
  * @property idempotencyKey the caller's key, or an empty text; handed on to the endpoint
  * @property body body of the call
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public class EndpointCall(
     public val method: String,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/RequestDispatcher.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/dispatch/RequestDispatcher.kt
@@ -1,6 +1,5 @@
 package org.guavahatch.scheduling.dispatch
 
-import org.guavahatch.model.configuration.DispatchRule
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.identity.Incarnation
 import org.guavahatch.model.identity.RequestId
@@ -8,7 +7,6 @@
 import org.guavahatch.model.outcome.Outcome
 import org.guavahatch.model.outcome.UnknownReason
 import org.guavahatch.protocol.message.AnswerFailed
-import org.guavahatch.protocol.message.Cancel
 import org.guavahatch.protocol.message.Declined
 import org.guavahatch.protocol.message.Digest
 import org.guavahatch.protocol.message.FailureReason
@@ -20,7 +18,6 @@
 import org.guavahatch.protocol.message.Ready
 import org.guavahatch.protocol.message.RefusalReason
 import org.guavahatch.protocol.message.Straggling
-import org.guavahatch.scheduling.budget.RetryBudget
 import org.guavahatch.scheduling.choice.EndpointChooser
 import kotlin.random.Random
 
@@ -30,21 +27,21 @@
  * was not dispatched, or where the route allows a repeat. Pure: it returns effects and performs none. Not safe for use
  * by several threads.
  *
- * @property chooser picks the endpoints of the first offers
- * @property delivered tells what callers have received
- * @property random source of chance for the chooser
+ * @param chooser picks the endpoints of the first offers
+ * @param delivered tells what callers have received
+ * @param random source of chance for the chooser
  */
 public class RequestDispatcher(
-    private val chooser: EndpointChooser,
-    private val delivered: DeliveredAnswers,
-    private val random: Random,
+    chooser: EndpointChooser,
+    delivered: DeliveredAnswers,
+    random: Random,
     private val settings: DispatcherSettings = DispatcherSettings(),
 ) {
     private val members = MemberTable()
     private val requests = RequestTable()
     private val offers = OfferBoard(members, chooser, random, settings.initialOffers)
     private val endings = RequestEndings(members, requests, settings)
-    private val retries = RetryBudget()
+    private val attempts = AttemptStarter(members, requests, offers, endings, delivered, settings)
 
     /** Requests that are held, whether or not their callers have been answered. */
     public val heldRequests: Int get() = requests.size
@@ -62,7 +59,7 @@
         requests.add(request)
         if (room == null) return endings.conclude(request, endings.notRun(NotRunReason.ENTRY_FULL))
         val claim = if (specification.needsClaim) listOf(DispatchEffect.Claim(request.requestId)) else emptyList()
-        return room + claim + startWaiting(request, nowMilliseconds)
+        return room + claim + attempts.startWaiting(request, nowMilliseconds)
     }
 
     /** Makes room for a request of [rank] by displacing a waiting one of a lower tier; null if that is not possible. */
@@ -73,19 +70,6 @@
             endings.conclude(victim, endings.outcomeOfWaiting(victim, NotRunReason.ENTRY_FULL))
     }
 
-    private fun startWaiting(request: TrackedRequest, nowMilliseconds: Long): List<DispatchEffect> {
-        request.phase = Phase.Waiting
-        request.isWide = false
-        val remaining = request.specification.deadlineMilliseconds - nowMilliseconds
-        val isUrgent = remaining < URGENT_FACTOR * settings.widenMilliseconds
-        requests.startWaiting(request, nowMilliseconds + if (isUrgent) 0 else settings.widenMilliseconds)
-        return if (isUrgent) {
-            offers.offerToAll(request, nowMilliseconds)
-        } else {
-            offers.offerToBest(request, nowMilliseconds)
-        }
-    }
-
     /** Takes a message of [endpoint]'s sidecar. Answer frames other than failures do not concern the dispatcher. */
     public fun onMessage(endpoint: EndpointId, message: Message, nowMilliseconds: Long): List<DispatchEffect> =
         when (message) {
@@ -146,7 +130,7 @@
         request.phase = Phase.Granted(member.endpoint, sidecar)
         member.granted.add(request.requestId)
         offers.noteGrant(request, member)
-        if (request.attempt == 1) retries.earn()
+        attempts.noteGrant(request)
         val remaining = request.specification.deadlineMilliseconds - nowMilliseconds
         val grant =
             DispatchEffect.SendGrant(member.endpoint, sidecar, request.requestId, request.attempt, remaining)
@@ -172,7 +156,7 @@
         if (refused.reason == RefusalReason.LEAVING) members.onLeaving(endpoint)
         val request = grantedTo(endpoint, refused.requestId, refused.attempt) ?: return emptyList()
         endings.endAttempt(request)
-        return if (request.isConcluded) endings.giveBack(request) else retry(request, nowMilliseconds)
+        return if (request.isConcluded) endings.giveBack(request) else attempts.retry(request, nowMilliseconds)
     }
 
     private fun onAnswerFailed(
@@ -185,18 +169,11 @@
         request.mayHaveRun = true
         return when {
             request.isConcluded -> listOf(endings.forget(request))
-            mayRepeat(request, failed.reason) -> retry(request, nowMilliseconds)
+            attempts.mayRepeat(request, failed.reason) -> attempts.retry(request, nowMilliseconds)
             else -> endings.conclude(request, Outcome.Unknown(UnknownReason.ENDPOINT_FAILED))
         }
     }
 
-    private fun mayRepeat(request: TrackedRequest, reason: FailureReason): Boolean =
-        when (request.specification.dispatch) {
-            DispatchRule.AT_MOST_ONCE -> false
-            DispatchRule.RESUMABLE -> reason == FailureReason.PREEMPTED || retries.spend()
-            DispatchRule.REPEATABLE -> !delivered.hasDelivered(request.requestId) && retries.spend()
-        }
-
     private fun onForgotten(endpoint: EndpointId, forgotten: Forgotten): List<DispatchEffect> {
         val request = grantedTo(endpoint, forgotten.requestId, forgotten.attempt) ?: return emptyList()
         endings.endAttempt(request)
@@ -205,14 +182,6 @@
         return endings.conclude(request, Outcome.Unknown(UnknownReason.SIDECAR_LOST))
     }
 
-    private fun retry(request: TrackedRequest, nowMilliseconds: Long): List<DispatchEffect> {
-        if (nowMilliseconds >= request.specification.deadlineMilliseconds) {
-            return endings.conclude(request, endings.outcomeOfWaiting(request, NotRunReason.DEADLINE))
-        }
-        request.attempt++
-        return startWaiting(request, nowMilliseconds)
-    }
-
     private fun grantedTo(endpoint: EndpointId, requestId: RequestId, attempt: Int): TrackedRequest? {
         val request = requests[requestId] ?: return null
         val granted = request.phase as? Phase.Granted ?: return null
@@ -310,7 +279,7 @@
         request.mayHaveRun = true
         return when {
             request.isConcluded -> listOf(endings.forget(request))
-            mayRepeat(request, FailureReason.CUT) -> retry(request, nowMilliseconds)
+            attempts.mayRepeat(request, FailureReason.CUT) -> attempts.retry(request, nowMilliseconds)
             else -> endings.conclude(request, Outcome.Unknown(UnknownReason.SIDECAR_LOST))
         }
     }
@@ -341,14 +310,8 @@
         if (!isStraggling) return offers.offerOpen(requests.waiting, member, nowMilliseconds)
         if (!members.mayAvoidStragglers(member.pool)) return emptyList()
         return member.granted.mapNotNull(requests::get)
-            .filter { !it.isConcluded && mayRepeat(it, FailureReason.STALLED) }
-            .flatMap { move(it, endpoint, nowMilliseconds) }
-    }
-
-    private fun move(request: TrackedRequest, from: EndpointId, nowMilliseconds: Long): List<DispatchEffect> {
-        endings.endAttempt(request)
-        request.mayHaveRun = true
-        return listOf(DispatchEffect.Send(from, Cancel(request.requestId))) + retry(request, nowMilliseconds)
+            .filter { !it.isConcluded && attempts.mayRepeat(it, FailureReason.STALLED) }
+            .flatMap { attempts.move(it, endpoint, nowMilliseconds) }
     }
 
     /** Sets which endpoints are drained, by the configuration. */
@@ -370,7 +333,7 @@
     public fun onTick(nowMilliseconds: Long): List<DispatchEffect> {
         val expired = requests.takeExpired(nowMilliseconds).flatMap(::expire)
         val widened = requests.takeWidened(nowMilliseconds).flatMap { onWidening(it, nowMilliseconds) }
-        return expired + widened + moveLostStreams(nowMilliseconds)
+        return expired + widened + attempts.moveLostStreams(nowMilliseconds)
     }
 
     private fun onWidening(request: TrackedRequest, nowMilliseconds: Long): List<DispatchEffect> {
@@ -386,25 +349,4 @@
             is Phase.Granted -> endings.leaveBehind(request, phase, UnknownReason.DEADLINE)
         }
     }
-
-    private fun moveLostStreams(nowMilliseconds: Long): List<DispatchEffect> =
-        members.all.filter { !it.isConnected && it.granted.isNotEmpty() }.flatMap { member ->
-            member.granted.mapNotNull(requests::get)
-                .filter { isMovable(it, nowMilliseconds) }
-                .flatMap { request ->
-                    endings.endAttempt(request)
-                    request.mayHaveRun = true
-                    retry(request, nowMilliseconds)
-                }
-        }
-
-    private fun isMovable(request: TrackedRequest, nowMilliseconds: Long): Boolean {
-        val since = (request.phase as? Phase.Granted)?.lostSince ?: return false
-        if (request.isConcluded || since + settings.reattachMilliseconds > nowMilliseconds) return false
-        return mayRepeat(request, FailureReason.CUT)
-    }
-
-    private companion object {
-        const val URGENT_FACTOR = 10
-    }
 }
