Hand the first token on at once

Cause: CallerAnswer kept the block before the present one back for every answer, so the first token of a stream reached its caller with the second one, and an end that came in the same block as other events (over 64 bytes) was written before the answer was known to be whole. Found by reading; ruled out that assembly hides it. Change: AnswerTail holds only the block that ends a stream, or the last block of other bodies; AnswerTailTest has the cases, of which two fail with the old rule by reading it. The report's plot starts at zero on white. Not measured by itself.

--- a/cli/src/main/kotlin/org/guavahatch/cli/report/HtmlReport.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/report/HtmlReport.kt
@@ -4,6 +4,7 @@
 import org.knowm.xchart.XYChart
 import org.knowm.xchart.XYChartBuilder
 import org.knowm.xchart.style.markers.SeriesMarkers
+import java.awt.Color
 import java.util.Base64
 import java.util.Locale
 
@@ -11,6 +12,7 @@
 internal object HtmlReport {
     private const val WIDTH = 900
     private const val HEIGHT = 320
+    private const val LOWEST_TOP = 2.0
 
     fun write(report: BurnReport): String = buildString {
         append("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Service-level burn</title>")
@@ -49,6 +51,9 @@
     private fun plot(title: String, groups: List<GroupBurn>): String {
         val chart: XYChart = XYChartBuilder().width(WIDTH).height(HEIGHT).title("$title: burn by second")
             .xAxisTitle("seconds since the start").yAxisTitle("burn").build()
+        chart.styler.setChartBackgroundColor(Color.WHITE)
+        chart.styler.setYAxisMin(0.0)
+        chart.styler.setYAxisMax(maxOf(LOWEST_TOP, groups.maxOfOrNull { highest(it) } ?: 0.0))
         groups.forEach { group ->
             val points = group.bySecond.withIndex().filter { it.value != null }
             val seconds = points.map { it.index.toDouble() }
@@ -58,6 +63,8 @@
         return Base64.getEncoder().encodeToString(BitmapEncoder.getBitmapBytes(chart, BitmapEncoder.BitmapFormat.PNG))
     }
 
+    private fun highest(group: GroupBurn) = group.bySecond.filterNotNull().maxOrNull() ?: 0.0
+
     private fun number(value: Double) = "%.2f".format(Locale.ROOT, value)
 
     private fun escape(text: String) = text.replace("&", "&amp;").replace("<", "&lt;")
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerAnswer.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerAnswer.kt
@@ -122,38 +122,35 @@
     }
 
     private suspend fun writeStream(output: ByteWriteChannel, isEventStream: Boolean): Outcome {
-        var last = held.toByteArray()
+        val tail = AnswerTail(isEventStream)
+        write(output, tail.accept(held.toByteArray()))
         while (true) {
             when (val event = exchange.events.receive()) {
                 is ExchangeEvent.Body -> {
-                    output.writeFully(last)
-                    output.flush()
+                    write(output, tail.accept(event.bytes))
                     exchange.onConsumed(event.bytes.size)
-                    last = event.bytes
-                    if (isEventStream && !isLastEvent(last)) {
-                        output.writeFully(last)
-                        output.flush()
-                        last = ByteArray(0)
-                    }
                 }
-                is ExchangeEvent.Concluded -> return finish(output, event.outcome, last, isEventStream)
+                is ExchangeEvent.Concluded -> return finish(output, event.outcome, tail, isEventStream)
                 is ExchangeEvent.Restarted -> throw AnswerBrokenException(exchange.requestId.toString())
                 else -> Unit
             }
         }
     }
 
-    private fun isLastEvent(bytes: ByteArray) = bytes.size < LARGEST_LAST_EVENT && LAST_EVENT in bytes.decodeToString()
+    private suspend fun write(output: ByteWriteChannel, bytes: ByteArray) {
+        if (bytes.isEmpty()) return
+        output.writeFully(bytes)
+        output.flush()
+    }
 
     private suspend fun finish(
         output: ByteWriteChannel,
         outcome: Outcome,
-        last: ByteArray,
+        tail: AnswerTail,
         isEventStream: Boolean,
     ): Outcome {
         if (outcome == Outcome.Answered) {
-            output.writeFully(last)
-            output.flush()
+            write(output, tail.rest())
             return outcome
         }
         if (!isEventStream) throw AnswerBrokenException(exchange.requestId.toString())
@@ -165,9 +162,7 @@
 
     private companion object {
         const val LARGEST_HELD_BYTES = 262_144
-        const val LARGEST_LAST_EVENT = 64
         const val EVENT_STREAM = "text/event-stream"
-        const val LAST_EVENT = "[DONE]"
         const val STREAMED = "streamed"
         const val BROKEN_OFF = "The stream could not be finished; what was received is not the whole answer."
         const val MILLISECONDS_PER_SECOND = 1000L
--- /dev/null
+++ b/daemon/src/test/kotlin/org/guavahatch/daemon/entry/AnswerTailTest.kt
@@ -0,0 +1,35 @@
+package org.guavahatch.daemon.entry
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class AnswerTailTest {
+    private class Case(
+        val name: String,
+        val isEventStream: Boolean,
+        val blocks: List<String>,
+        val written: List<String>,
+        val rest: String,
+    )
+
+    private val event = "data: {}\n\n"
+    private val end = "data: [DONE]\n\n"
+
+    private val cases = listOf(
+        Case("the first event is written at once", true, listOf(event), listOf(event), ""),
+        Case("the last event waits", true, listOf(event, end), listOf(event, ""), end),
+        Case("a block with the last event waits", true, listOf(event + end), listOf(""), event + end),
+        Case("text after the end follows it", true, listOf(end, event), listOf("", end + event), ""),
+        Case("of other bodies the last block waits", false, listOf("a", "b", "c"), listOf("", "a", "b"), "c"),
+    )
+
+    @Test
+    fun `only the end of an answer waits`() {
+        cases.forEach { case ->
+            val tail = AnswerTail(case.isEventStream)
+            val written = case.blocks.map { tail.accept(it.toByteArray()).decodeToString() }
+            assertEquals(case.written, written, case.name)
+            assertEquals(case.rest, tail.rest().decodeToString(), case.name)
+        }
+    }
+}
