--- a/cli/src/test/kotlin/org/guavahatch/cli/process/KilledProcessTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/KilledProcessTest.kt
@@ -16,6 +16,7 @@
         Case("killed-sidecar-of-engine", { it.endpoints[0].sidecar.kill() }, { it.startSidecar(it.endpoints[0]) }),
         Case("killed-sidecar-of-application", { it.endpoints[2].sidecar.kill() }, { it.startSidecar(it.endpoints[2]) }),
         Case("killed-engine", { it.endpoints[1].endpoint.kill() }, { it.startEndpoint(it.endpoints[1]) }),
+        Case("killed-application", { it.endpoints[2].endpoint.kill() }, { it.startEndpoint(it.endpoints[2]) }),
         Case("killed-entry", { it.entries[0].process.kill() }, { it.startEntry(it.entries[0]) }),
         Case("frozen-sidecar-of-application", { it.endpoints[3].sidecar.freeze() }, { it.endpoints[3].sidecar.thaw() }),
         Case("frozen-sidecar-of-engine", { it.endpoints[1].sidecar.freeze() }, { it.endpoints[1].sidecar.thaw() }),
