Make the frozen sidecar's test hit both outcomes in each round

Each round now places one order before the freeze and one during it as well; all checks by order stay.

--- a/cli/src/test/kotlin/org/guavahatch/cli/process/CallerGoneTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/CallerGoneTest.kt
@@ -19,13 +19,11 @@
         Regex("\"running\":(\\d+)").find(load)?.groupValues?.get(1)?.toInt() ?: 0
     }
 
-    private fun body() = """{"messages":[{"role":"user","content":"long"}],"max_tokens":20000,"stream":true}"""
-
     @Test
     fun `the engine stops when the caller has gone`() {
         val socket = Socket("127.0.0.1", entry.callerPort)
         val request = "POST /v1/chat/completions HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer frost-key-office\r\n" +
-            "Content-Type: application/json\r\nContent-Length: ${body().length}\r\n\r\n${body()}"
+            "Content-Type: application/json\r\nContent-Length: ${BODY.length}\r\n\r\n$BODY"
         socket.getOutputStream().write(request.toByteArray())
         assertTrue(awaitTrue(8000) { running() == 1 }, "the engine does not run the request")
         socket.close()
@@ -35,9 +33,13 @@
     @Test
     fun `the engine stops when the deadline has passed`() {
         val headers = arrayOf("Authorization", "Bearer frost-key-office", "guavahatch-deadline-ms", "3000")
-        val answer = LocalHttp.post("${entry.url}/v1/chat/completions", body(), *headers)
+        val answer = LocalHttp.post("${entry.url}/v1/chat/completions", BODY, *headers)
         assertTrue("event: error" in answer.body(), answer.body().takeLast(200))
         assertTrue("[DONE]" !in answer.body(), "the stream has a clean end")
         assertTrue(awaitTrue(8000) { running() == 0 }, "the engine still runs the request")
     }
+
+    private companion object {
+        const val BODY = """{"messages":[{"role":"user","content":"long"}],"max_tokens":20000,"stream":true}"""
+    }
 }
--- a/cli/src/test/kotlin/org/guavahatch/cli/process/FrozenSidecarTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/FrozenSidecarTest.kt
@@ -22,6 +22,7 @@
         val random = Random(1)
         val told = HashMap<String, String>()
         repeat(ROUNDS) { round ->
+            told["before-$round"] = frostFleece.placeOrder("before-$round").header("guavahatch-outcome")
             val orders = List(ORDERS) { "frozen-$round-$it" }.map { key ->
                 Thread.sleep(random.nextLong(0, 8))
                 key to CompletableFuture.supplyAsync { frostFleece.placeOrder(key, key.length % 2, DEADLINE_MS) }
@@ -31,6 +32,7 @@
                 it.freeze()
                 Thread.sleep(random.nextLong(0, 10))
             }
+            told["during-$round"] = frostFleece.placeOrder("during-$round", 0, DEADLINE_MS).header("guavahatch-outcome")
             orders.forEach { (key, answer) -> told[key] = answer.get().header("guavahatch-outcome") }
             sidecars.forEach { it.thaw() }
             frostFleece.deployment.awaitReady()
