Rename the module platform to coordination

Cause: the users' platform gets an adapter of its own in the folder platform/, and this module is product: claims, leases and publication.

No change of behaviour.

--- a/cli/src/main/kotlin/org/guavahatch/cli/command/ClaimsCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/ClaimsCommand.kt
@@ -1,6 +1,6 @@
 package org.guavahatch.cli.command
 
-import org.guavahatch.platform.claim.ClaimList
+import org.guavahatch.coordination.claim.ClaimList
 import java.time.Instant
 
 /** Lists claims that have no outcome: requests of which it is not known whether they ran, or that are running. */
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
@@ -7,13 +7,13 @@
 import org.guavahatch.model.configuration.ConfigurationSet
 import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.model.time.SystemClock
-import org.guavahatch.platform.http.HttpObjectStore
-import org.guavahatch.platform.http.HttpTableService
-import org.guavahatch.platform.http.PlatformClient
-import org.guavahatch.platform.publication.ConfigurationPublisher
-import org.guavahatch.platform.publication.ConfigurationStore
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.TableService
+import org.guavahatch.coordination.http.HttpObjectStore
+import org.guavahatch.coordination.http.HttpTableService
+import org.guavahatch.coordination.http.PlatformClient
+import org.guavahatch.coordination.publication.ConfigurationPublisher
+import org.guavahatch.coordination.publication.ConfigurationStore
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.TableService
 import org.kohsuke.args4j.Option
 
 /** What a command works with at the platform. */
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/ShowCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/ShowCommand.kt
@@ -1,6 +1,6 @@
 package org.guavahatch.cli.command
 
-import org.guavahatch.platform.publication.Publication
+import org.guavahatch.coordination.publication.Publication
 import org.kohsuke.args4j.Option
 
 /** Prints an accepted configuration as it was published. */
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/StatusCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/StatusCommand.kt
@@ -7,7 +7,7 @@
 import kotlinx.coroutines.withTimeout
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.guavahatch.platform.http.SingleTryClient
+import org.guavahatch.coordination.http.SingleTryClient
 import org.kohsuke.args4j.Argument
 
 /** Shows what processes have in force, and whether they are ready. */
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/CallerClient.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/CallerClient.kt
@@ -15,7 +15,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
-import org.guavahatch.platform.http.SingleTryClient
+import org.guavahatch.coordination.http.SingleTryClient
 import java.net.ConnectException
 import java.security.MessageDigest
 import java.util.HexFormat
--- a/cli/src/main/kotlin/org/guavahatch/cli/load/RecordCheck.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/load/RecordCheck.kt
@@ -7,7 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.guavahatch.platform.http.SingleTryClient
+import org.guavahatch.coordination.http.SingleTryClient
 
 /**
  * What a stand-in did for a request.
--- a/platform/src/main/kotlin/org/guavahatch/platform/claim/Claim.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/claim/Claim.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.claim
+package org.guavahatch.coordination.claim
 
 import kotlinx.serialization.Serializable
 
--- a/platform/src/main/kotlin/org/guavahatch/platform/claim/ClaimKeeper.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/claim/ClaimKeeper.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.claim
+package org.guavahatch.coordination.claim
 
 import arrow.core.Either
 import arrow.core.getOrElse
@@ -6,12 +6,12 @@
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.store.ConditionalWrite
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.RowCondition
-import org.guavahatch.platform.store.TableRow
-import org.guavahatch.platform.store.TableService
-import org.guavahatch.platform.store.TransactionResult
+import org.guavahatch.coordination.store.ConditionalWrite
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.RowCondition
+import org.guavahatch.coordination.store.TableRow
+import org.guavahatch.coordination.store.TableService
+import org.guavahatch.coordination.store.TransactionResult
 
 /**
  * Claims idempotency keys through the table service. The row of a key carries the attempt that won it, so an attempt
--- a/platform/src/main/kotlin/org/guavahatch/platform/claim/ClaimList.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/claim/ClaimList.kt
@@ -1,9 +1,9 @@
-package org.guavahatch.platform.claim
+package org.guavahatch.coordination.claim
 
 import arrow.core.Either
 import kotlinx.serialization.json.Json
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.TableService
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.TableService
 
 /**
  * A claim as operators see it.
--- a/platform/src/main/kotlin/org/guavahatch/platform/claim/ClaimWriter.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/claim/ClaimWriter.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.claim
+package org.guavahatch.coordination.claim
 
 import arrow.core.Either
 import kotlinx.coroutines.CompletableDeferred
@@ -6,11 +6,11 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.guavahatch.platform.store.ConditionalWrite
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.RowCondition
-import org.guavahatch.platform.store.TableService
-import org.guavahatch.platform.store.TransactionResult
+import org.guavahatch.coordination.store.ConditionalWrite
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.RowCondition
+import org.guavahatch.coordination.store.TableService
+import org.guavahatch.coordination.store.TransactionResult
 
 /** Inserts claims in groups, so that a table service with few writes a second carries many claims. */
 internal class ClaimWriter(
--- a/platform/src/main/kotlin/org/guavahatch/platform/http/HttpInstanceList.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/HttpInstanceList.kt
@@ -1,11 +1,11 @@
-package org.guavahatch.platform.http
+package org.guavahatch.coordination.http
 
 import arrow.core.Either
 import io.ktor.http.HttpMethod
 import kotlinx.serialization.json.Json
-import org.guavahatch.platform.store.Instance
-import org.guavahatch.platform.store.InstanceList
-import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.coordination.store.Instance
+import org.guavahatch.coordination.store.InstanceList
+import org.guavahatch.coordination.store.PlatformError
 
 /**
  * The instance list behind [client].
--- a/platform/src/main/kotlin/org/guavahatch/platform/http/HttpObjectStore.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/HttpObjectStore.kt
@@ -1,12 +1,12 @@
-package org.guavahatch.platform.http
+package org.guavahatch.coordination.http
 
 import arrow.core.Either
 import io.ktor.client.request.header
 import io.ktor.client.request.setBody
 import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
-import org.guavahatch.platform.store.ObjectStore
-import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.coordination.store.ObjectStore
+import org.guavahatch.coordination.store.PlatformError
 
 /** The object store behind [client]. */
 public class HttpObjectStore(private val client: PlatformClient) : ObjectStore {
--- a/platform/src/main/kotlin/org/guavahatch/platform/http/HttpTableService.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/HttpTableService.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.http
+package org.guavahatch.coordination.http
 
 import arrow.core.Either
 import io.ktor.client.request.parameter
@@ -8,12 +8,12 @@
 import io.ktor.http.contentType
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.guavahatch.platform.store.ConditionalWrite
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.RowCondition
-import org.guavahatch.platform.store.TableRow
-import org.guavahatch.platform.store.TableService
-import org.guavahatch.platform.store.TransactionResult
+import org.guavahatch.coordination.store.ConditionalWrite
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.RowCondition
+import org.guavahatch.coordination.store.TableRow
+import org.guavahatch.coordination.store.TableService
+import org.guavahatch.coordination.store.TransactionResult
 
 /** The table service behind [client]. */
 public class HttpTableService(private val client: PlatformClient) : TableService {
--- a/platform/src/main/kotlin/org/guavahatch/platform/http/PlatformClient.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/PlatformClient.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.http
+package org.guavahatch.coordination.http
 
 import arrow.core.Either
 import arrow.core.left
@@ -11,7 +11,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
-import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.coordination.store.PlatformError
 import java.net.ConnectException
 
 /**
--- a/platform/src/main/kotlin/org/guavahatch/platform/http/SingleTryClient.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/SingleTryClient.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.http
+package org.guavahatch.coordination.http
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.apache5.Apache5
--- a/platform/src/main/kotlin/org/guavahatch/platform/lease/FencedLease.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/lease/FencedLease.kt
@@ -1,14 +1,14 @@
-package org.guavahatch.platform.lease
+package org.guavahatch.coordination.lease
 
 import arrow.core.getOrElse
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.store.ConditionalWrite
-import org.guavahatch.platform.store.RowCondition
-import org.guavahatch.platform.store.TableRow
-import org.guavahatch.platform.store.TableService
-import org.guavahatch.platform.store.TransactionResult
+import org.guavahatch.coordination.store.ConditionalWrite
+import org.guavahatch.coordination.store.RowCondition
+import org.guavahatch.coordination.store.TableRow
+import org.guavahatch.coordination.store.TableService
+import org.guavahatch.coordination.store.TransactionResult
 
 /**
  * Row of a lease.
--- a/platform/src/main/kotlin/org/guavahatch/platform/lease/LeaseSettings.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/lease/LeaseSettings.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.lease
+package org.guavahatch.coordination.lease
 
 /**
  * Settings of a [FencedLease].
--- a/platform/src/main/kotlin/org/guavahatch/platform/publication/AppliedConfiguration.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/publication/AppliedConfiguration.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.publication
+package org.guavahatch.coordination.publication
 
 import arrow.core.Either
 import arrow.core.flatMap
--- a/platform/src/main/kotlin/org/guavahatch/platform/publication/ConfigurationPublisher.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/publication/ConfigurationPublisher.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.publication
+package org.guavahatch.coordination.publication
 
 import arrow.core.Either
 import arrow.core.getOrElse
@@ -9,12 +9,12 @@
 import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.model.configuration.ContentHash
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.store.ConditionalWrite
-import org.guavahatch.platform.store.ObjectStore
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.RowCondition
-import org.guavahatch.platform.store.TableService
-import org.guavahatch.platform.store.TransactionResult
+import org.guavahatch.coordination.store.ConditionalWrite
+import org.guavahatch.coordination.store.ObjectStore
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.RowCondition
+import org.guavahatch.coordination.store.TableService
+import org.guavahatch.coordination.store.TransactionResult
 
 /**
  * What is to be published.
--- a/platform/src/main/kotlin/org/guavahatch/platform/publication/ConfigurationStore.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/publication/ConfigurationStore.kt
@@ -1,13 +1,13 @@
-package org.guavahatch.platform.publication
+package org.guavahatch.coordination.publication
 
 import arrow.core.Either
 import kotlinx.serialization.json.Json
 import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.model.configuration.ContentHash
-import org.guavahatch.platform.store.ObjectStore
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.TableRow
-import org.guavahatch.platform.store.TableService
+import org.guavahatch.coordination.store.ObjectStore
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.TableRow
+import org.guavahatch.coordination.store.TableService
 
 /**
  * The head as it stands in the table service.
--- a/platform/src/main/kotlin/org/guavahatch/platform/store/PlatformError.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/store/PlatformError.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.store
+package org.guavahatch.coordination.store
 
 /**
  * A call to the platform that did not succeed.
--- a/platform/src/main/kotlin/org/guavahatch/platform/store/TableService.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/store/TableService.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.store
+package org.guavahatch.coordination.store
 
 import arrow.core.Either
 import kotlinx.serialization.Serializable
--- a/platform/src/test/kotlin/org/guavahatch/platform/claim/ClaimInterleavingTest.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/claim/ClaimInterleavingTest.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.claim
+package org.guavahatch.coordination.claim
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
@@ -6,8 +6,8 @@
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeoutOrNull
-import org.guavahatch.platform.fake.FaultyTable
-import org.guavahatch.platform.fake.TestTime
+import org.guavahatch.coordination.fake.FaultyTable
+import org.guavahatch.coordination.fake.TestTime
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/platform/src/test/kotlin/org/guavahatch/platform/claim/ClaimWriterTest.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/claim/ClaimWriterTest.kt
@@ -1,9 +1,9 @@
-package org.guavahatch.platform.claim
+package org.guavahatch.coordination.claim
 
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.test.runTest
-import org.guavahatch.platform.fake.FaultyTable
+import org.guavahatch.coordination.fake.FaultyTable
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/platform/src/test/kotlin/org/guavahatch/platform/fake/FakeObjects.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/fake/FakeObjects.kt
@@ -1,9 +1,9 @@
-package org.guavahatch.platform.fake
+package org.guavahatch.coordination.fake
 
 import arrow.core.Either
 import arrow.core.right
-import org.guavahatch.platform.store.ObjectStore
-import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.coordination.store.ObjectStore
+import org.guavahatch.coordination.store.PlatformError
 
 /** An object store in memory. */
 internal class FakeObjects : ObjectStore {
--- a/platform/src/test/kotlin/org/guavahatch/platform/fake/FaultyTable.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/fake/FaultyTable.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.fake
+package org.guavahatch.coordination.fake
 
 import arrow.core.Either
 import arrow.core.left
@@ -6,12 +6,12 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.guavahatch.platform.store.ConditionalWrite
-import org.guavahatch.platform.store.PlatformError
-import org.guavahatch.platform.store.RowCondition
-import org.guavahatch.platform.store.TableRow
-import org.guavahatch.platform.store.TableService
-import org.guavahatch.platform.store.TransactionResult
+import org.guavahatch.coordination.store.ConditionalWrite
+import org.guavahatch.coordination.store.PlatformError
+import org.guavahatch.coordination.store.RowCondition
+import org.guavahatch.coordination.store.TableRow
+import org.guavahatch.coordination.store.TableService
+import org.guavahatch.coordination.store.TransactionResult
 import java.util.TreeMap
 import kotlin.random.Random
 
--- a/platform/src/test/kotlin/org/guavahatch/platform/fake/TestTime.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/fake/TestTime.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.fake
+package org.guavahatch.coordination.fake
 
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.test.TestScope
--- a/platform/src/test/kotlin/org/guavahatch/platform/lease/FencedLeaseTest.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/lease/FencedLeaseTest.kt
@@ -1,11 +1,11 @@
-package org.guavahatch.platform.lease
+package org.guavahatch.coordination.lease
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
-import org.guavahatch.platform.fake.FaultyTable
-import org.guavahatch.platform.fake.TestTime
+import org.guavahatch.coordination.fake.FaultyTable
+import org.guavahatch.coordination.fake.TestTime
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/platform/src/test/kotlin/org/guavahatch/platform/publication/AppliedConfigurationTest.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/publication/AppliedConfigurationTest.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.publication
+package org.guavahatch.coordination.publication
 
 import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.model.configuration.ContentHash
--- a/platform/src/test/kotlin/org/guavahatch/platform/publication/ConfigurationSamples.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/publication/ConfigurationSamples.kt
@@ -1,4 +1,4 @@
-package org.guavahatch.platform.publication
+package org.guavahatch.coordination.publication
 
 /** Small valid configurations. */
 internal object ConfigurationSamples {
--- a/platform/src/test/kotlin/org/guavahatch/platform/publication/PublicationInterleavingTest.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/publication/PublicationInterleavingTest.kt
@@ -1,13 +1,13 @@
-package org.guavahatch.platform.publication
+package org.guavahatch.coordination.publication
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
 import org.guavahatch.model.configuration.ConfigurationVersion
-import org.guavahatch.platform.fake.FakeObjects
-import org.guavahatch.platform.fake.FaultyTable
-import org.guavahatch.platform.fake.TestTime
+import org.guavahatch.coordination.fake.FakeObjects
+import org.guavahatch.coordination.fake.FaultyTable
+import org.guavahatch.coordination.fake.TestTime
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/configuration/ConfigurationWatcher.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/configuration/ConfigurationWatcher.kt
@@ -6,10 +6,10 @@
 import org.guavahatch.daemon.observation.DaemonCounter
 import org.guavahatch.daemon.observation.DaemonMetrics
 import org.guavahatch.model.configuration.ConfigurationVersion
-import org.guavahatch.platform.publication.AppliedConfiguration
-import org.guavahatch.platform.publication.ConfigurationStore
-import org.guavahatch.platform.publication.InForce
-import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.coordination.publication.AppliedConfiguration
+import org.guavahatch.coordination.publication.ConfigurationStore
+import org.guavahatch.coordination.publication.InForce
+import org.guavahatch.coordination.store.PlatformError
 import org.guavahatch.protocol.message.ConfigurationContent
 import org.tinylog.kotlin.Logger
 import kotlin.random.Random
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerAnswer.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerAnswer.kt
@@ -13,7 +13,7 @@
 import io.ktor.utils.io.writeStringUtf8
 import org.guavahatch.model.outcome.NotRunReason
 import org.guavahatch.model.outcome.Outcome
-import org.guavahatch.platform.claim.RecordedAnswer
+import org.guavahatch.coordination.claim.RecordedAnswer
 import java.io.ByteArrayOutputStream
 
 /** The body of an answer that broke off. Thrown to close the caller's connection without a clean end. */
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerRequestReader.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerRequestReader.kt
@@ -22,7 +22,7 @@
 import org.guavahatch.model.configuration.PoolKind
 import org.guavahatch.model.configuration.Route
 import org.guavahatch.model.configuration.Tier
-import org.guavahatch.platform.publication.InForce
+import org.guavahatch.coordination.publication.InForce
 import org.guavahatch.protocol.message.EndpointCall
 import java.io.ByteArrayOutputStream
 
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/CallerServer.kt
@@ -19,8 +19,8 @@
 import org.guavahatch.model.outcome.NotRunReason
 import org.guavahatch.model.outcome.Outcome
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.publication.AppliedConfiguration
-import org.guavahatch.platform.publication.InForce
+import org.guavahatch.coordination.publication.AppliedConfiguration
+import org.guavahatch.coordination.publication.InForce
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Serves callers by HTTP. */
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/ClaimCoordinator.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/ClaimCoordinator.kt
@@ -7,10 +7,10 @@
 import org.guavahatch.daemon.observation.DaemonCounter
 import org.guavahatch.daemon.observation.DaemonMetrics
 import org.guavahatch.model.identity.RequestId
-import org.guavahatch.platform.claim.ClaimKeeper
-import org.guavahatch.platform.claim.ClaimKey
-import org.guavahatch.platform.claim.ClaimResult
-import org.guavahatch.platform.claim.RecordedAnswer
+import org.guavahatch.coordination.claim.ClaimKeeper
+import org.guavahatch.coordination.claim.ClaimKey
+import org.guavahatch.coordination.claim.ClaimResult
+import org.guavahatch.coordination.claim.RecordedAnswer
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryControl.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/EntryControl.kt
@@ -14,8 +14,8 @@
 import org.guavahatch.model.outcome.Outcome
 import org.guavahatch.model.outcome.UnknownReason
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.claim.ClaimResult
-import org.guavahatch.platform.publication.AppliedConfiguration
+import org.guavahatch.coordination.claim.ClaimResult
+import org.guavahatch.coordination.publication.AppliedConfiguration
 import org.guavahatch.protocol.message.AnswerFailed
 import org.guavahatch.protocol.message.AnswerMessage
 import org.guavahatch.protocol.message.ConfigurationContent
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLink.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLink.kt
@@ -15,7 +15,7 @@
 import org.guavahatch.daemon.transport.Handshake
 import org.guavahatch.daemon.transport.InnerConnection
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.store.Instance
+import org.guavahatch.coordination.store.Instance
 import org.guavahatch.protocol.message.Heartbeat
 import org.guavahatch.protocol.message.Hello
 import org.guavahatch.protocol.message.Message
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLinks.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/entry/SidecarLinks.kt
@@ -11,10 +11,10 @@
 import org.guavahatch.daemon.transport.Handshake
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
-import org.guavahatch.platform.store.Instance
-import org.guavahatch.platform.store.InstanceList
-import org.guavahatch.platform.store.InstanceState
-import org.guavahatch.platform.store.PlatformError
+import org.guavahatch.coordination.store.Instance
+import org.guavahatch.coordination.store.InstanceList
+import org.guavahatch.coordination.store.InstanceState
+import org.guavahatch.coordination.store.PlatformError
 import java.util.concurrent.ConcurrentHashMap
 
 /**
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
@@ -16,7 +16,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.CancellationException
-import org.guavahatch.platform.http.SingleTryClient
+import org.guavahatch.coordination.http.SingleTryClient
 import org.guavahatch.protocol.message.EndpointCall
 import org.guavahatch.protocol.message.FailureReason
 import java.net.ConnectException
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EngineOrders.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EngineOrders.kt
@@ -17,8 +17,8 @@
 import org.guavahatch.daemon.observation.DaemonCounter
 import org.guavahatch.daemon.observation.DaemonMetrics
 import org.guavahatch.model.configuration.EndpointPool
-import org.guavahatch.platform.http.SingleTryClient
-import org.guavahatch.platform.lease.FencedLease
+import org.guavahatch.coordination.http.SingleTryClient
+import org.guavahatch.coordination.lease.FencedLease
 import org.tinylog.kotlin.Logger
 
 /**
