Forward requests through a gateway of its own, without sidecars

Change: module gateway (one thread, Netty's HTTP codec), decisions in scheduling.direct, adapter in platform/.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/DaemonArguments.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/DaemonArguments.kt
@@ -23,4 +23,7 @@
 
     /** Stands beside one endpoint. */
     sidecar,
+
+    /** Forwards callers' requests to endpoints itself, on the users' platform. */
+    gateway,
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
@@ -0,0 +1,57 @@
+package org.guavahatch.daemon
+
+import arrow.core.Either
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.guavahatch.gateway.settings.GatewaySettings
+import org.guavahatch.model.time.SystemClock
+import org.guavahatch.platform.PlatformGateway
+import sun.misc.Signal
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.random.Random
+import kotlin.system.exitProcess
+
+/** Runs a gateway. It starts in a fraction of a second, so it uses nothing of the other roles. */
+internal object GatewayMain {
+    private const val EXIT_USAGE = 2
+    private const val INCARNATION_RADIX = 36
+
+    /** Runs until the process is asked to stop. */
+    fun run(arguments: DaemonArguments) {
+        val settings = when (val read = read(Path.of(arguments.settings))) {
+            is Either.Left -> {
+                System.err.println(read.value)
+                exitProcess(EXIT_USAGE)
+            }
+            is Either.Right -> read.value
+        }
+        if (arguments.isCheckOnly) return
+        val incarnation = Random(System.nanoTime()).nextLong(Long.MAX_VALUE).toString(INCARNATION_RADIX)
+        val gateway = PlatformGateway(settings, incarnation, SystemClock)
+        Signal.handle(Signal("HUP")) { }
+        gateway.start()
+        val stopped = CountDownLatch(1)
+        Signal.handle(Signal("TERM")) {
+            Thread {
+                gateway.stop()
+                stopped.countDown()
+            }.start()
+        }
+        stopped.await()
+        exitProcess(0)
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun read(file: Path): Either<String, GatewaySettings> = try {
+        val json = Json {
+            allowComments = true
+            ignoreUnknownKeys = true
+        }
+        Either.Right(json.decodeFromString(GatewaySettings.serializer(), Files.readString(file)))
+    } catch (exception: SerializationException) {
+        Either.Left("$file: ${exception.message}")
+    }
+}
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/Main.kt
@@ -20,7 +20,7 @@
 
 private const val EXIT_USAGE = 2
 
-/** Runs an entry instance or a sidecar until the process is asked to stop. */
+/** Runs an entry instance, a sidecar or a gateway until the process is asked to stop. */
 fun main(arguments: Array<String>) {
     // The servers must not stop by themselves at SIGTERM: requests in flight come first.
     System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
@@ -28,6 +28,7 @@
     when (parsed.role) {
         DaemonRole.entry -> runEntry(parsed)
         DaemonRole.sidecar -> runSidecar(parsed)
+        DaemonRole.gateway -> GatewayMain.run(parsed)
         null -> exitProcess(EXIT_USAGE)
     }
 }
@@ -39,7 +40,7 @@
         parser.parseArgument(*arguments)
     } catch (exception: CmdLineException) {
         System.err.println("guavahatchd: ${exception.message}")
-        System.err.println("usage: guavahatchd ROLE --settings FILE [--check]; ROLE is entry or sidecar")
+        System.err.println("usage: guavahatchd ROLE --settings FILE [--check]; ROLE is entry, sidecar or gateway")
         exitProcess(EXIT_USAGE)
     }
     return parsed
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -0,0 +1,231 @@
+package org.guavahatch.gateway.caller
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.util.ReferenceCountUtil
+import org.guavahatch.model.time.Clock
+
+/** One connection of a caller: requests are read whole, one after the other, and answered in order. */
+class CallerConnection(private val intake: RequestIntake, private val clock: Clock) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private val later = ArrayDeque<HttpObject>()
+    private var head: HttpRequest? = null
+    private var headAt = 0L
+    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var active: Reply? = null
+    private var isClosing = false
+    private var quietSince = clock.monotonicMilliseconds()
+
+    override fun handlerAdded(handlerContext: ChannelHandlerContext) {
+        context = handlerContext
+    }
+
+    /** Closes the connection if it has been idle for too long, or at once if [isStopping] and no request is present. */
+    fun closeIfIdle(isStopping: Boolean) {
+        if (active != null) return
+        val limits = intake.limits
+        val limit = if (head != null) limits.headerTimeoutMilliseconds else limits.idleTimeoutMilliseconds
+        val isExpired = clock.monotonicMilliseconds() - quietSince > limit
+        if (head != null && isExpired) return refuse(HttpResponseStatus.REQUEST_TIMEOUT)
+        if (isExpired || (isStopping && head == null)) context.close()
+    }
+
+    override fun channelRead(handlerContext: ChannelHandlerContext, message: Any) {
+        if (active != null || isClosing) {
+            if (isClosing) ReferenceCountUtil.release(message) else postpone(message as HttpObject)
+            return
+        }
+        try {
+            read(message as HttpObject)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun postpone(message: HttpObject) {
+        later.addLast(message)
+        if (later.size >= MOST_POSTPONED) context.channel().config().isAutoRead = false
+    }
+
+    private fun read(message: HttpObject) {
+        if (message.decoderResult().isFailure) return refuseMalformed(message.decoderResult().cause())
+        if (message is HttpRequest) readHead(message)
+        if (message is HttpContent && head != null) readBody(message)
+    }
+
+    private fun readHead(request: HttpRequest) {
+        val isAmbiguous = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
+            request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+        if (isAmbiguous) return refuse(HttpResponseStatus.BAD_REQUEST)
+        val announced = HttpUtil.getContentLength(request, 0L)
+        if (announced > intake.limits.maximumBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        head = request
+        headAt = clock.monotonicMilliseconds()
+        quietSince = headAt
+        body = if (announced > 0) context.alloc().buffer(announced.toInt()) else context.alloc().buffer(0)
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+    }
+
+    private fun readBody(content: HttpContent) {
+        quietSince = clock.monotonicMilliseconds()
+        val size = content.content().readableBytes()
+        if (body.readableBytes() + size > intake.limits.maximumBodyBytes) {
+            return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+        if (!intake.canHold(size)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        body.writeBytes(content.content())
+        if (content is LastHttpContent) submit()
+    }
+
+    private fun submit() {
+        val request = head ?: return
+        val reply = Reply(HttpUtil.isKeepAlive(request), request.method() == HttpMethod.HEAD)
+        active = reply
+        head = null
+        val whole = CallerRequest(request.method(), request.uri(), request.headers(), body, headAt)
+        body = Unpooled.EMPTY_BUFFER
+        val listener = intake.accept(whole, reply)
+        if (active === reply) reply.listener = listener
+    }
+
+    private fun refuseMalformed(cause: Throwable) {
+        val isTooLong = cause is TooLongHttpHeaderException
+        refuse(
+            if (isTooLong) HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE else HttpResponseStatus.BAD_REQUEST,
+        )
+    }
+
+    /** Answers a request that was not read to its end, and closes: what follows on the connection is unknown. */
+    private fun refuse(status: HttpResponseStatus) {
+        isClosing = true
+        head = null
+        body.release()
+        body = Unpooled.EMPTY_BUFFER
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    private fun finish(reply: Reply, isKept: Boolean) {
+        active = null
+        quietSince = clock.monotonicMilliseconds()
+        if (!isKept) {
+            isClosing = true
+            return
+        }
+        check(reply.isEnded) { "A reply that has not ended cannot be followed by another." }
+        while (later.isNotEmpty() && active == null && !isClosing) channelRead(context, later.removeFirst())
+        if (later.isEmpty()) context.channel().config().isAutoRead = true
+    }
+
+    override fun channelWritabilityChanged(handlerContext: ChannelHandlerContext) {
+        if (handlerContext.channel().isWritable) active?.listener?.onWritable()
+    }
+
+    override fun channelInactive(handlerContext: ChannelHandlerContext) {
+        isClosing = true
+        later.forEach { ReferenceCountUtil.release(it) }
+        later.clear()
+        body.release()
+        body = Unpooled.EMPTY_BUFFER
+        val reply = active ?: return
+        active = null
+        reply.isEnded = true
+        reply.listener?.onCallerGone()
+    }
+
+    override fun exceptionCaught(handlerContext: ChannelHandlerContext, exception: Throwable) {
+        // Resets by callers are usual; channelInactive follows and tells the request.
+        handlerContext.close()
+    }
+
+    private inner class Reply(private val isKeepAlive: Boolean, private val isHead: Boolean) : CallerResponder {
+        var listener: CallerRequestListener? = null
+        var isEnded = false
+        private var isChunked = false
+
+        override val isWritable: Boolean get() = context.channel().isWritable
+
+        override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
+            if (isEnded) {
+                body.release()
+                return
+            }
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                body,
+                headers,
+                EmptyHttpHeaders.INSTANCE,
+            )
+            if (!isHead) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+            isEnded = true
+            send(response, keptOpen(headers))
+        }
+
+        override fun begin(status: Int, headers: HttpHeaders) {
+            if (isEnded) return
+            isChunked = true
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH)
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+            keptOpen(headers)
+            context.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
+        }
+
+        override fun write(data: ByteBuf) {
+            if (isEnded) data.release() else context.writeAndFlush(DefaultHttpContent(data))
+        }
+
+        override fun end() {
+            if (isEnded) return
+            isEnded = true
+            send(LastHttpContent.EMPTY_LAST_CONTENT, isKeepAlive && !intake.isStopping)
+        }
+
+        override fun abort() {
+            if (isEnded) return
+            isEnded = true
+            if (active === this) active = null
+            isClosing = true
+            context.close()
+        }
+
+        private fun keptOpen(headers: HttpHeaders): Boolean {
+            val isKept = isKeepAlive && !intake.isStopping
+            if (!isKept) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            return isKept
+        }
+
+        private fun send(message: Any, isKept: Boolean) {
+            val future = context.writeAndFlush(message)
+            if (!isKept) future.addListener(ChannelFutureListener.CLOSE)
+            if (active === this) finish(this, isKept)
+        }
+    }
+
+    private companion object {
+        /** Messages of pipelined requests that are held before reading pauses. */
+        const val MOST_POSTPONED = 32
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -0,0 +1,177 @@
+package org.guavahatch.gateway.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaderNames
+import org.guavahatch.gateway.GatewayHeaders
+import org.guavahatch.gateway.caller.CallerRequest
+import org.guavahatch.gateway.caller.CallerRequestListener
+import org.guavahatch.gateway.caller.CallerResponder
+import org.guavahatch.gateway.caller.RequestIntake
+import org.guavahatch.gateway.request.OwnAnswers
+import org.guavahatch.gateway.request.RequestContext
+import org.guavahatch.gateway.request.RequestPlan
+import org.guavahatch.gateway.request.RequestRun
+import org.guavahatch.gateway.settings.RequestSettings
+import org.guavahatch.model.forwarding.CallerLimits
+import org.guavahatch.model.forwarding.ForwardingAccount
+import org.guavahatch.model.forwarding.ForwardingConfiguration
+import org.guavahatch.model.forwarding.ForwardingRoute
+import org.guavahatch.scheduling.direct.WaitingRequest
+import kotlin.random.Random
+
+/** Decides whether a request is taken, and hands it to its pool. */
+class Admission(
+    private val control: GatewayControl,
+    private val context: RequestContext,
+    private val settings: RequestSettings,
+    private val random: Random,
+) : RequestIntake {
+    private val headers: GatewayHeaders get() = context.headers
+    private var sequence = 0L
+    private var heldBytes = 0L
+
+    override var isStopping: Boolean = false
+
+    override val limits: CallerLimits get() = control.configuration?.limits ?: FIRST_LIMITS
+
+    override fun canHold(bytes: Int): Boolean = heldBytes + bytes <= settings.maximumBodyBytes
+
+    override fun accept(request: CallerRequest, responder: CallerResponder): CallerRequestListener? =
+        when (val decided = decide(request)) {
+            is Either.Left -> {
+                reject(request, responder, decided.value)
+                null
+            }
+            is Either.Right -> start(decided.value, responder)
+        }
+
+    private fun start(plan: RequestPlan, responder: CallerResponder): CallerRequestListener {
+        val size = plan.request.body.readableBytes()
+        heldBytes += size
+        val pool = control.pool(plan.pool)
+        val run = RequestRun(plan, responder, pool, context) { heldBytes -= size }
+        pool.submit(run)
+        return run
+    }
+
+    private fun reject(request: CallerRequest, responder: CallerResponder, refusal: Refusal) {
+        request.body.release()
+        context.metrics.ended(refusal.reason)
+        context.log.write("request.refused") {
+            put("request", request.headers.get(headers.requestId).orEmpty())
+            put("status", refusal.status)
+            put("reason", refusal.reason)
+            put("configuration", control.configuration?.version ?: 0)
+            put("age", control.freshness.ageMilliseconds() ?: -1)
+            refusal.retryAfterMilliseconds?.let { put("retry-after", it) }
+        }
+        responder.answer(refusal.status, OwnAnswers.headers(refusal.retryAfterMilliseconds), Unpooled.EMPTY_BUFFER)
+    }
+
+    private fun decide(request: CallerRequest): Either<Refusal, RequestPlan> = either {
+        val configuration = ensureNotNull(control.configuration) { Refusal.unavailable("no-configuration") }
+        val id = ensureNotNull(request.headers.get(headers.requestId)) { Refusal(BAD_REQUEST, "no-request-id") }
+        val route = route(configuration, request).bind()
+        val account = account(configuration, route, request).bind()
+        val pool = choosePool(route)
+        ensure(control.pool(pool).waiting < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
+        val tokens = tokenCount(request)
+        val units = charge(account, tokens).bind()
+        RequestPlan(id, request, route, pool, account, units, waiting(request, route, account, tokens), configuration.version)
+    }
+
+    private fun route(
+        configuration: ForwardingConfiguration,
+        request: CallerRequest,
+    ): Either<Refusal, ForwardingRoute> {
+        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty()
+        val route = configuration.routeOf(host, request.target)
+        return route?.right() ?: negative(Refusal(NOT_FOUND, "no-route")).left()
+    }
+
+    private fun account(
+        configuration: ForwardingConfiguration,
+        route: ForwardingRoute,
+        request: CallerRequest,
+    ): Either<Refusal, ForwardingAccount?> {
+        if (route.isOpen || !configuration.requiresKeys) return null.right()
+        if (!control.freshness.allowsKeys()) return Refusal.unavailable("configuration-too-old").left()
+        val account = request.headers.get(headers.key)?.let(configuration::accountOf)
+        return account?.right() ?: negative(Refusal(UNAUTHORIZED, "unknown-key")).left()
+    }
+
+    /** "No such thing" is final, so it is told only by a gateway that knows the newest configuration. */
+    private fun negative(refusal: Refusal): Refusal =
+        if (control.freshness.allowsNegativeAnswers()) refusal else Refusal.unavailable("configuration-too-old")
+
+    private fun charge(account: ForwardingAccount?, tokens: TokenCount?): Either<Refusal, Long> {
+        val quota = account?.quota ?: return 0L.right()
+        val units = quota.unitsOf(tokens?.let { it.prompt + it.output })
+        val wait = control.ledger.admit(account, units) ?: return units.right()
+        return Refusal(TOO_MANY, "quota", wait).left()
+    }
+
+    private fun waiting(
+        request: CallerRequest,
+        route: ForwardingRoute,
+        account: ForwardingAccount?,
+        tokens: TokenCount?,
+    ): WaitingRequest {
+        val budget = request.headers.get(headers.timeBudget)?.trim()?.toDoubleOrNull()?.toLong()
+        val limit = minOf(budget ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
+        return WaitingRequest(
+            sequence = sequence++,
+            rank = account?.rank ?: route.rank,
+            routeRank = route.rank,
+            arrivedAt = request.receivedAt,
+            targetAt = request.receivedAt + route.targetLatencyMilliseconds,
+            deadline = request.receivedAt + limit,
+            promptTokens = tokens?.prompt ?: 0,
+            outputTokens = tokens?.output ?: 0,
+        )
+    }
+
+    private fun choosePool(route: ForwardingRoute): String {
+        val total = route.targets.sumOf { it.weight }
+        var draw = if (total > 0) random.nextInt(total) else 0
+        return route.targets.firstOrNull { target ->
+            draw -= target.weight
+            draw < 0
+        }?.pool ?: route.targets.first().pool
+    }
+
+    private fun tokenCount(request: CallerRequest): TokenCount? {
+        val parts = request.headers.get(headers.tokenCount)?.split(',') ?: return null
+        val prompt = parts.getOrNull(0)?.trim()?.toLongOrNull() ?: return null
+        val output = parts.getOrNull(1)?.trim()?.toLongOrNull() ?: 0
+        return TokenCount(prompt, output)
+    }
+
+    private data class TokenCount(val prompt: Long, val output: Long)
+
+    private data class Refusal(val status: Int, val reason: String, val retryAfterMilliseconds: Long? = null) {
+        companion object {
+            fun unavailable(reason: String) = Refusal(SERVICE_UNAVAILABLE, reason, RETRY_MILLISECONDS)
+        }
+    }
+
+    private companion object {
+        const val BAD_REQUEST = 400
+        const val UNAUTHORIZED = 401
+        const val NOT_FOUND = 404
+        const val TOO_MANY = 429
+        const val SERVICE_UNAVAILABLE = 503
+
+        /** Time in which a gateway that lost the store usually reaches it again, or the caller another gateway. */
+        const val RETRY_MILLISECONDS = 300L
+
+        /** Limits until the first configuration is known; requests are refused until then anyway. */
+        val FIRST_LIMITS = CallerLimits(16_384, 4_194_304, 3_000, 15_000)
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/ControlServer.kt
@@ -0,0 +1,71 @@
+package org.guavahatch.gateway.control
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import org.guavahatch.gateway.SocketAddresses
+
+/**
+ * Answer of a page of the control interface.
+ *
+ * @property status HTTP status
+ * @property body its bytes
+ */
+class Page(val status: Int, val body: ByteArray = ByteArray(0))
+
+/** Serves small pages by their path: readiness, metrics, the configuration in force. */
+class ControlServer(private val loop: EventLoopGroup, private val pages: Map<String, () -> Page>) {
+    /** Listens on [address]. */
+    fun start(address: String) {
+        val bootstrap = ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpServerCodec(), Handler())
+                }
+            })
+        bootstrap.bind(SocketAddresses.parse(address)).sync()
+    }
+
+    private inner class Handler : SimpleChannelInboundHandler<HttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, request: HttpRequest) {
+            val page = pages[request.uri().substringBefore('?')]?.invoke() ?: Page(NOT_FOUND)
+            val response = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(page.status),
+                Unpooled.wrappedBuffer(page.body),
+            )
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, page.body.size)
+            val isKept = HttpUtil.isKeepAlive(request)
+            if (!isKept) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+            val written = context.writeAndFlush(response)
+            if (!isKept) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) {
+            // A reset by the one who asked needs no answer.
+            context.close()
+        }
+    }
+
+    private companion object {
+        const val NOT_FOUND = 404
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -0,0 +1,73 @@
+package org.guavahatch.gateway.endpoint
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponseDecoder
+import org.guavahatch.gateway.SocketAddresses
+import org.guavahatch.model.time.Clock
+
+/** Opens and keeps connections to endpoints. */
+class EndpointConnector(loop: EventLoopGroup, private val clock: Clock, private val requestIdHeader: String) {
+    private val idleByAddress = HashMap<String, IdleConnections>()
+    private val bootstrap = Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+        .handler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder())
+            }
+        })
+
+    /**
+     * Gives [use] a connection to [address] or the reason why there is none.
+     *
+     * @param longestIdleMilliseconds how long a kept connection may have been idle
+     */
+    fun connect(
+        address: String,
+        longestIdleMilliseconds: Long,
+        use: (Either<EndpointUnreachable, EndpointConnection>) -> Unit,
+    ) {
+        val idle = idleByAddress.getOrPut(address) { IdleConnections(clock) }
+        val kept = idle.take(longestIdleMilliseconds)
+        if (kept != null) return use(kept.right())
+        bootstrap.connect(SocketAddresses.parse(address)).addListener { future ->
+            val channelFuture = future as io.netty.channel.ChannelFuture
+            if (!future.isSuccess) {
+                val reason = future.cause().message ?: future.cause().javaClass.simpleName
+                return@addListener use(EndpointUnreachable(address, reason).left())
+            }
+            val connection = EndpointConnection(channelFuture.channel(), requestIdHeader, idle)
+            channelFuture.channel().pipeline().addLast(connection)
+            use(connection.right())
+        }
+    }
+
+    /** Closes the idle connections to [address]. */
+    fun forget(address: String) {
+        idleByAddress.remove(address)?.close()
+    }
+
+    private companion object {
+        /** Links within a region take about a millisecond; a lost first packet is sent again after a second. */
+        const val CONNECT_TIMEOUT_MILLISECONDS = 300
+    }
+}
+
+/**
+ * No connection to an endpoint could be opened; nothing was sent.
+ *
+ * @property peer address of the endpoint
+ * @property reason what the system told
+ */
+data class EndpointUnreachable(val peer: String, val reason: String)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/KeepAliveHeader.kt
@@ -0,0 +1,11 @@
+package org.guavahatch.gateway.endpoint
+
+/** The `Keep-Alive` header (RFC 2068, section 19.7.1.1). */
+internal object KeepAliveHeader {
+    private val timeout = Regex("timeout\\s*=\\s*(\\d+)", RegexOption.IGNORE_CASE)
+    private const val MILLISECONDS_PER_SECOND = 1_000L
+
+    /** Milliseconds of the parameter `timeout` in [value], or null. */
+    fun timeoutMilliseconds(value: String?): Long? =
+        value?.let { timeout.find(it) }?.groupValues?.get(1)?.toLongOrNull()?.times(MILLISECONDS_PER_SECOND)
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -0,0 +1,34 @@
+package org.guavahatch.gateway.peer
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
+
+/**
+ * Datagram between gateways, in CBOR with numbered fields.
+ *
+ * @property name sender
+ * @property incarnation run of the sender
+ * @property sequence number of the datagram, rising within a run
+ * @property echo newest sequence that the sender has got from the receiver's present run, 0 for none
+ * @property echoIncarnation run of the receiver that [echo] belongs to
+ * @property configurationVersion version of the configuration in force at the sender
+ * @property configurationAge milliseconds since that version was confirmed as the newest, or -1
+ * @property load requests and unread prompt tokens by endpoint
+ * @property accountUse units let through since the sender's start, by account
+ * @property accountLevels units left, by account
+ * @property waiting waiting requests by pool
+ */
+@Serializable
+internal class PeerDatagram(
+    @CborLabel(1) val name: String,
+    @CborLabel(2) val incarnation: String,
+    @CborLabel(3) val sequence: Long,
+    @CborLabel(4) val echo: Long,
+    @CborLabel(5) val echoIncarnation: String,
+    @CborLabel(6) val configurationVersion: Long,
+    @CborLabel(7) val configurationAge: Long,
+    @CborLabel(8) val load: Map<String, List<Long>>,
+    @CborLabel(9) val accountUse: Map<String, Long>,
+    @CborLabel(10) val accountLevels: Map<String, Long>,
+    @CborLabel(11) val waiting: Map<String, Int>,
+)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -0,0 +1,154 @@
+package org.guavahatch.gateway.request
+
+import io.netty.channel.EventLoop
+import org.guavahatch.gateway.endpoint.EndpointConnector
+import org.guavahatch.model.forwarding.ListedEndpoint
+import org.guavahatch.model.identity.EndpointId
+import org.guavahatch.model.time.Clock
+import org.guavahatch.scheduling.direct.EndpointChooser
+import org.guavahatch.scheduling.direct.EndpointLoad
+import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.RetryAllowance
+import org.guavahatch.scheduling.direct.WaitingQueue
+import java.util.concurrent.TimeUnit
+
+/** The waiting requests and the endpoints of one pool. */
+class PoolDispatcher(
+    val name: String,
+    private val loop: EventLoop,
+    private val clock: Clock,
+    private val chooser: EndpointChooser,
+    private val allowance: RetryAllowance,
+    private val peers: PeerTable,
+    private val connector: EndpointConnector,
+) {
+    private val queue = WaitingQueue()
+    private val runs = HashMap<Long, RequestRun>()
+    private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
+    private val closed = HashMap<EndpointId, EndpointState>()
+    private var isPumping = false
+    private var isTimerSet = false
+
+    /** Called when the load of an endpoint or the queue has changed. */
+    var onChange: () -> Unit = {}
+
+    /** Number of waiting requests. */
+    val waiting: Int get() = queue.size
+
+    /** Requests that have not ended. */
+    var open: Int = 0
+        private set
+
+    /** Endpoints that take requests. */
+    val usableEndpoints: Int get() = endpoints.values.count { !it.isClosed }
+
+    /** Slots of endpoints that no request of any gateway takes, as far as is known. */
+    val freeSlots: Int get() = endpoints.values.filter { !it.isClosed }.sumOf { maxOf(0, it.listed.slots - it.requests) }
+
+    /** Begins [run]. */
+    fun submit(run: RequestRun) {
+        open++
+        allowance.noteRequest()
+        enqueue(run)
+    }
+
+    /** Lets [run] wait for an endpoint. */
+    fun enqueue(run: RequestRun) {
+        runs[run.plan.waiting.sequence] = run
+        queue.add(run.plan.waiting)
+        pump()
+    }
+
+    /** Takes [run] out of the queue. */
+    fun remove(run: RequestRun) {
+        if (queue.remove(run.plan.waiting)) runs.remove(run.plan.waiting.sequence)
+    }
+
+    /** Notes that [run] has ended. */
+    fun onEnded(run: RequestRun) {
+        remove(run)
+        open--
+    }
+
+    /** Notes that an endpoint has more room. */
+    fun onEndpointFree() {
+        onChange()
+        pump()
+    }
+
+    /** Takes one retry from this gateway's part. */
+    fun takeRetry(): Boolean = allowance.take(peers.gateways)
+
+    /** Takes in what an endpoint tells of itself. */
+    fun update(listed: ListedEndpoint) {
+        val known = endpoints[listed.id]
+        val isSameProcess = known != null && known.listed.incarnation == listed.incarnation &&
+            known.listed.address == listed.address
+        val state = if (isSameProcess) known!! else EndpointState(listed)
+        state.listed = listed
+        state.isClosed = listed.isLeaving
+        endpoints[listed.id] = state
+        pump()
+    }
+
+    /** Notes that an endpoint is gone: nothing more is sent to it. */
+    fun remove(id: EndpointId) {
+        val state = endpoints.remove(id) ?: return
+        state.isClosed = true
+        connector.forget(state.listed.address)
+    }
+
+    /** Ids of the known endpoints. */
+    fun endpointIds(): Set<EndpointId> = endpoints.keys.toSet()
+
+    /** Takes in the load that peers reported. */
+    fun noteReports() {
+        val reports = peers.fresh()
+        endpoints.values.forEach { endpoint ->
+            val loads = reports.mapNotNull { it.load[endpoint.listed.id.value] }
+            endpoint.peerRequests = loads.sumOf { it.requests }
+            endpoint.peerPrefillTokens = loads.sumOf { it.prefillTokens }
+        }
+        pump()
+    }
+
+    /** Adds this gateway's requests at endpoints to [load]. */
+    fun collectLoad(load: MutableMap<String, EndpointLoad>) {
+        endpoints.values.filter { it.ownRequests > 0 }.forEach {
+            load[it.listed.id.value] = EndpointLoad(it.ownRequests, it.ownPrefillTokens)
+        }
+    }
+
+    private fun pump() {
+        if (isPumping) return
+        isPumping = true
+        while (true) {
+            val request = queue.first() ?: break
+            val endpoint = chooser.choose(request, endpoints.values, clock.monotonicMilliseconds()) ?: break
+            queue.remove(request)
+            runs.remove(request.sequence)?.dispatch(endpoint)
+            onChange()
+        }
+        isPumping = false
+        if (queue.size > 0) setTimer()
+    }
+
+    /** Endpoints become usable with time alone, after a suspension or a refusal. */
+    private fun setTimer() {
+        if (isTimerSet) return
+        isTimerSet = true
+        loop.schedule(
+            {
+                isTimerSet = false
+                pump()
+            },
+            RECHECK_MILLISECONDS,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    private companion object {
+        const val RECHECK_MILLISECONDS = 20L
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
@@ -0,0 +1,29 @@
+package org.guavahatch.gateway.request
+
+import org.guavahatch.gateway.caller.CallerRequest
+import org.guavahatch.model.forwarding.ForwardingAccount
+import org.guavahatch.model.forwarding.ForwardingRoute
+import org.guavahatch.scheduling.direct.WaitingRequest
+
+/**
+ * An accepted request and what was decided about it.
+ *
+ * @property id identity of the caller's attempt
+ * @property request what the caller sent
+ * @property route the route it matched
+ * @property pool the pool that serves it
+ * @property account the caller's account, or null if the route needs none
+ * @property units units that it was charged to the account
+ * @property waiting what decisions need to know of it
+ * @property configurationVersion version of the configuration that decided
+ */
+class RequestPlan(
+    val id: String,
+    val request: CallerRequest,
+    val route: ForwardingRoute,
+    val pool: String,
+    val account: ForwardingAccount?,
+    val units: Long,
+    val waiting: WaitingRequest,
+    val configurationVersion: Long,
+)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -0,0 +1,106 @@
+package org.guavahatch.scheduling.direct
+
+import org.guavahatch.model.forwarding.ListedEndpoint
+
+/**
+ * What this gateway believes of one endpoint.
+ *
+ * @property listed the endpoint's own description
+ */
+public class EndpointState(public var listed: ListedEndpoint) {
+    /** Requests of this gateway that are at the endpoint. */
+    public var ownRequests: Int = 0
+        private set
+
+    /** Prompt tokens of this gateway's requests whose first event has not come yet. */
+    public var ownPrefillTokens: Long = 0
+        private set
+
+    /** Requests of other gateways at the endpoint, as last heard. */
+    public var peerRequests: Int = 0
+
+    /** Prompt tokens of other gateways' requests that are not prefilled yet, as last heard. */
+    public var peerPrefillTokens: Long = 0
+
+    /** Monotonic time until which nothing is sent, after failures. */
+    public var suspendedUntil: Long = 0
+        private set
+
+    /** Monotonic time until which the endpoint is taken as full, after it refused a request. */
+    public var fullUntil: Long = 0
+        private set
+
+    /** Whether the endpoint is leaving or gone and takes nothing new. */
+    public var isClosed: Boolean = false
+
+    private val pace = Average(PACE_WEIGHT)
+    private val failureShare = Average(FAILURE_WEIGHT)
+    private var consecutiveFailures = 0
+
+    /** Requests at the endpoint, of all gateways. */
+    public val requests: Int get() = ownRequests + peerRequests
+
+    /** Prompt tokens that are not prefilled yet, of all gateways. */
+    public val prefillTokens: Long get() = ownPrefillTokens + peerPrefillTokens
+
+    /** Mean milliseconds between events of streams, or of an answer of an application; null before the first. */
+    public val paceMilliseconds: Double? get() = pace.value
+
+    /** Share of requests that failed lately, 0 to 1. */
+    public val recentFailures: Double get() = failureShare.value ?: 0.0
+
+    /** Notes that a request with [promptTokens] is sent. */
+    public fun noteSent(promptTokens: Long) {
+        ownRequests++
+        ownPrefillTokens += promptTokens
+    }
+
+    /** Notes that the first event of a request with [promptTokens] came. */
+    public fun notePrefilled(promptTokens: Long) {
+        ownPrefillTokens -= promptTokens
+    }
+
+    /** Notes that a request is no longer at the endpoint; [unreadTokens] of it were not prefilled. */
+    public fun noteEnded(unreadTokens: Long) {
+        ownRequests--
+        ownPrefillTokens -= unreadTokens
+    }
+
+    /** Notes a measured pause between events, or the duration of an application's answer. */
+    public fun notePace(milliseconds: Double) {
+        pace.add(milliseconds)
+    }
+
+    /** Notes that the endpoint did its work. */
+    public fun noteSuccess() {
+        consecutiveFailures = 0
+        failureShare.add(0.0)
+    }
+
+    /** Notes a failure at [now]; several in a row suspend the endpoint for a growing time. */
+    public fun noteFailure(now: Long, isUnreachable: Boolean) {
+        failureShare.add(1.0)
+        consecutiveFailures++
+        if (!isUnreachable && consecutiveFailures < FAILURES_TO_SUSPEND) return
+        val doublings = minOf(consecutiveFailures, MOST_DOUBLINGS)
+        suspendedUntil = now + (SHORTEST_SUSPENSION_MILLISECONDS shl doublings)
+    }
+
+    /** Notes that the endpoint refused a request at [now] because it is full. */
+    public fun noteFull(now: Long) {
+        fullUntil = now + FULL_MILLISECONDS
+    }
+
+    private companion object {
+        const val PACE_WEIGHT = 0.1
+        const val FAILURE_WEIGHT = 0.1
+        const val FAILURES_TO_SUSPEND = 3
+        const val MOST_DOUBLINGS = 4
+
+        /** Doubled with each failure in a row: 200 ms to 1.6 s, well under the time that crashed endpoints stay away. */
+        const val SHORTEST_SUSPENSION_MILLISECONDS = 100L
+
+        /** About the time in which one slot of a full batch frees. */
+        const val FULL_MILLISECONDS = 100L
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -0,0 +1,75 @@
+package org.guavahatch.scheduling.direct
+
+import org.guavahatch.model.time.Clock
+
+/**
+ * What the other gateways last told.
+ *
+ * @property clock source of time
+ * @property silenceMilliseconds time without a message after which a peer's numbers are not used
+ */
+public class PeerTable(private val clock: Clock, private val silenceMilliseconds: Long) {
+    private val members = HashSet<String>()
+    private val heard = HashMap<String, HeardPeer>()
+
+    /** Number of gateways that may be running, this one included. */
+    public val gateways: Int get() = (members + heard.keys).size + 1
+
+    /** Sets the names of all other gateways that are registered. */
+    public fun setMembers(names: Set<String>) {
+        members.clear()
+        members.addAll(names)
+        heard.keys.retainAll { it in names || isFresh(heard.getValue(it)) }
+    }
+
+    /**
+     * Takes in [message]; returns what the peer has used of each account since its last message.
+     * Messages that are older than the last one are dropped: the result is null.
+     */
+    public fun note(message: PeerReport): Map<String, Long>? {
+        val before = heard[message.name]
+        val isSameRun = before != null && before.report.incarnation == message.incarnation
+        if (isSameRun && before!!.report.sequence >= message.sequence) return null
+        heard[message.name] = HeardPeer(message, clock.monotonicMilliseconds())
+        if (!isSameRun) return if (before == null) emptyMap() else message.accountUse
+        return message.accountUse.mapValues { (account, units) -> units - (before!!.report.accountUse[account] ?: 0) }
+    }
+
+    /** Reports of peers that were heard lately. */
+    public fun fresh(): List<PeerReport> = heard.values.filter(::isFresh).map { it.report }
+
+    private fun isFresh(peer: HeardPeer) = clock.monotonicMilliseconds() - peer.heardAt <= silenceMilliseconds
+
+    private class HeardPeer(val report: PeerReport, val heardAt: Long)
+}
+
+/**
+ * What a gateway tells its peers.
+ *
+ * @property name name of the gateway
+ * @property incarnation its run
+ * @property sequence number of the message, rising within a run
+ * @property load its requests at endpoints, by endpoint
+ * @property configurationVersion version of the configuration in force there
+ * @property accountLevels units that are left of accounts, as it sees them
+ * @property accountUse units of accounts that it has let through since its start
+ * @property waiting requests that wait, by pool and rank
+ */
+public data class PeerReport(
+    public val name: String,
+    public val incarnation: String,
+    public val sequence: Long,
+    public val load: Map<String, EndpointLoad>,
+    public val configurationVersion: Long,
+    public val accountLevels: Map<String, Long>,
+    public val accountUse: Map<String, Long>,
+    public val waiting: Map<String, Int>,
+)
+
+/**
+ * Requests of one gateway at one endpoint.
+ *
+ * @property requests their number
+ * @property prefillTokens their prompt tokens that are not prefilled yet
+ */
+public data class EndpointLoad(public val requests: Int, public val prefillTokens: Long)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -0,0 +1,29 @@
+package org.guavahatch.scheduling.direct
+
+import org.guavahatch.model.identity.EndpointId
+
+/**
+ * What a decision needs to know of a request that waits for an endpoint.
+ *
+ * @property sequence order of arrival, unique within the gateway
+ * @property rank priority, 0 is the highest
+ * @property routeRank priority of the route, where [rank] is that of the account
+ * @property arrivedAt monotonic time of its arrival
+ * @property targetAt monotonic time at which its latency objective ends
+ * @property deadline monotonic time at which its caller or route gives up
+ * @property promptTokens tokens to prefill; 0 for applications
+ * @property outputTokens most tokens to generate; 0 for applications
+ */
+public data class WaitingRequest(
+    public val sequence: Long,
+    public val rank: Int,
+    public val routeRank: Int,
+    public val arrivedAt: Long,
+    public val targetAt: Long,
+    public val deadline: Long,
+    public val promptTokens: Long,
+    public val outputTokens: Long,
+) {
+    /** Endpoints that failed or refused it. */
+    public val avoided: MutableSet<EndpointId> = HashSet(0)
+}
