Refuse early at a crest, and keep an account's quota for its urgent requests

Change: QueueForecast refuses what will not be sent in half of the caller's patience, with a Retry-After; 421 suspends an endpoint for 1 s; silence moves a request only with a retry in hand; punctual requests go first among equals; AccountLedger keeps a part of the burst for routes of higher rank; requests wait 400 ms for a configuration after a start or pause.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
@@ -21,6 +21,9 @@
 
     /** Runs until the process is asked to stop. */
     fun run(arguments: DaemonArguments) {
+        // Lines are JSON objects already; the other roles keep the format of the properties file.
+        System.setProperty("tinylog.writer.format", "{message}")
+        System.setProperty("tinylog.writer.stream", "out")
         val settings = when (val read = read(Path.of(arguments.settings))) {
             is Either.Left -> {
                 System.err.println(read.value)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -23,6 +23,7 @@
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ForwardingRoute
 import org.guavahatch.scheduling.direct.WaitingRequest
+import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
 /** Decides whether a request is taken, and hands it to its pool. */
@@ -43,6 +44,9 @@
     override fun canHold(bytes: Int): Boolean = heldBytes + bytes <= settings.maximumBodyBytes
 
     override fun accept(request: CallerRequest, responder: CallerResponder): CallerRequestListener? =
+        if (isConfigurationUsable()) proceed(request, responder) else HeldRequest(request, responder).also { hold(it) }
+
+    private fun proceed(request: CallerRequest, responder: CallerResponder): CallerRequestListener? =
         when (val decided = decide(request)) {
             is Either.Left -> {
                 reject(request, responder, decided.value)
@@ -51,6 +55,32 @@
             is Either.Right -> start(decided.value, responder)
         }
 
+    private fun isConfigurationUsable() = control.configuration != null && control.freshness.allowsKeys()
+
+    /** After a start or a pause the store confirms the configuration within milliseconds, if it can be reached. */
+    private fun hold(held: HeldRequest) {
+        val waited = context.clock.monotonicMilliseconds() - held.request.receivedAt
+        when {
+            held.isGone -> held.request.body.release()
+            isConfigurationUsable() || waited >= HOLD_MILLISECONDS -> held.listener = proceed(held.request, held.responder)
+            else -> context.loop.schedule({ hold(held) }, HOLD_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private class HeldRequest(val request: CallerRequest, val responder: CallerResponder) : CallerRequestListener {
+        var listener: CallerRequestListener? = null
+        var isGone = false
+
+        override fun onCallerGone() {
+            isGone = true
+            listener?.onCallerGone()
+        }
+
+        override fun onWritable() {
+            listener?.onWritable()
+        }
+    }
+
     private fun start(plan: RequestPlan, responder: CallerResponder): CallerRequestListener {
         val size = plan.request.body.readableBytes()
         heldBytes += size
@@ -82,7 +112,7 @@
         val pool = choosePool(route)
         ensure(control.pool(pool).waiting < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
         val tokens = tokenCount(request)
-        val units = charge(account, tokens).bind()
+        val units = charge(account, tokens, route).bind()
         RequestPlan(id, request, route, pool, account, units, waiting(request, route, account, tokens), configuration.version)
     }
 
@@ -110,10 +140,23 @@
     private fun negative(refusal: Refusal): Refusal =
         if (control.freshness.allowsNegativeAnswers()) refusal else Refusal.unavailable("configuration-too-old")
 
-    private fun charge(account: ForwardingAccount?, tokens: TokenCount?): Either<Refusal, Long> {
+    private fun charge(
+        account: ForwardingAccount?,
+        tokens: TokenCount?,
+        route: ForwardingRoute,
+    ): Either<Refusal, Long> {
         val quota = account?.quota ?: return 0L.right()
         val units = quota.unitsOf(tokens?.let { it.prompt + it.output })
-        val wait = control.ledger.admit(account, units) ?: return units.right()
+        val wait = control.ledger.admit(account, units, if (tokens == null) 0 else route.rank) ?: return units.right()
+        context.log.write("account.over-quota") {
+            put("account", account.name)
+            put("units", units)
+            put("level", control.ledger.levels[account.name] ?: 0)
+            put("per-second", quota.unitsPerSecond)
+            put("burst", quota.burstUnits)
+            put("gateways-heard", control.peers.fresh().size + 1)
+            put("gateways", control.peers.gateways)
+        }
         return Refusal(TOO_MANY, "quota", wait).left()
     }
 
@@ -132,11 +175,23 @@
             arrivedAt = request.receivedAt,
             targetAt = request.receivedAt + route.targetLatencyMilliseconds,
             deadline = request.receivedAt + limit,
+            abandonAt = request.receivedAt + minOf(limit, patience(route)),
             promptTokens = tokens?.prompt ?: 0,
             outputTokens = tokens?.output ?: 0,
         )
     }
 
+    /** Callers of streams leave when no event comes for this long; others wait until their deadline. */
+    private fun patience(route: ForwardingRoute): Long = if (!route.isStream) {
+        Long.MAX_VALUE / 2
+    } else {
+        maxOf(
+            SHORTEST_PATIENCE_MILLISECONDS,
+            route.targetLatencyMilliseconds * PATIENCE_TARGETS,
+            (route.maximumPauseMilliseconds ?: 0) * PATIENCE_PAUSES,
+        )
+    }
+
     private fun choosePool(route: ForwardingRoute): String {
         val total = route.targets.sumOf { it.weight }
         var draw = if (total > 0) random.nextInt(total) else 0
@@ -171,6 +226,14 @@
         /** Time in which a gateway that lost the store usually reaches it again, or the caller another gateway. */
         const val RETRY_MILLISECONDS = 300L
 
+        const val HOLD_MILLISECONDS = 400L
+        const val HOLD_CHECK_MILLISECONDS = 10L
+
+        /** Callers of event streams wait two seconds, four objectives or eight pauses, whichever is longest. */
+        const val SHORTEST_PATIENCE_MILLISECONDS = 2_000L
+        const val PATIENCE_TARGETS = 4
+        const val PATIENCE_PAUSES = 8
+
         /** Limits until the first configuration is known; requests are refused until then anyway. */
         val FIRST_LIMITS = CallerLimits(16_384, 4_194_304, 3_000, 15_000)
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -68,6 +68,8 @@
             put("configuration", plan.configurationVersion)
             put("own-requests", endpoint.ownRequests)
             put("peer-requests", endpoint.peerRequests)
+            plan.account?.let { put("account", it.name) }
+            put("units", plan.units)
         }
         opened.send(request, plan.id, this)
         watch(firstAnswerLimit())
@@ -168,9 +170,13 @@
             watch(limit - silence)
             return
         }
+        if (!run.mayMove()) {
+            watch(limit)
+            return
+        }
         finish()
         connection?.abandon()
-        run.onUnusable(endpoint, "silent for $silence ms")
+        run.onMoved(endpoint, "silent for $silence ms")
     }
 
     private fun finish() {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -9,8 +9,10 @@
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.QueueForecast
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.WaitingQueue
+import org.guavahatch.scheduling.direct.WaitingRequest
 import java.util.concurrent.TimeUnit
 
 /** The waiting requests and the endpoints of one pool. */
@@ -24,9 +26,9 @@
     private val connector: EndpointConnector,
 ) {
     private val queue = WaitingQueue()
+    private val forecast = QueueForecast()
     private val runs = HashMap<Long, RequestRun>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
-    private val closed = HashMap<EndpointId, EndpointState>()
     private var isPumping = false
     private var isTimerSet = false
 
@@ -124,9 +126,11 @@
         if (isPumping) return
         isPumping = true
         while (true) {
-            val request = queue.first() ?: break
-            val endpoint = chooser.choose(request, endpoints.values, clock.monotonicMilliseconds()) ?: break
+            val now = clock.monotonicMilliseconds()
+            val request = queue.first(now) ?: break
+            val endpoint = chooser.choose(request, endpoints.values, now) ?: break
             queue.remove(request)
+            forecast.noteDispatch(now, isQueueLeft = queue.size > 0)
             runs.remove(request.sequence)?.dispatch(endpoint)
             onChange()
         }
@@ -134,6 +138,26 @@
         if (queue.size > 0) setTimer()
     }
 
+    /** Refuses what will not be sent in time as the queue stands now. */
+    private fun refuseHopeless() {
+        val now = clock.monotonicMilliseconds()
+        var ahead = 0
+        queue.inOrder(now).forEach { request ->
+            val run = runs[request.sequence]
+            if (run == null || run.isContinuation || forecast.isHopeful(request, ahead, now)) {
+                ahead++
+            } else {
+                run.refuse("overload", retryAfter(request, forecast.expectedWait(ahead, now), now))
+            }
+        }
+    }
+
+    /** Callers follow the advice for up to a third of the time that they have left. */
+    private fun retryAfter(request: WaitingRequest, wait: Long, now: Long): Long {
+        val longest = (request.deadline - now) / PARTS_OF_TIME_LEFT
+        return wait.coerceIn(minOf(SHORTEST_RETRY_MILLISECONDS, longest), maxOf(longest, 0))
+    }
+
     /** Endpoints become usable with time alone, after a suspension or a refusal. */
     private fun setTimer() {
         if (isTimerSet) return
@@ -142,6 +166,7 @@
             {
                 isTimerSet = false
                 pump()
+                refuseHopeless()
             },
             RECHECK_MILLISECONDS,
             TimeUnit.MILLISECONDS,
@@ -150,5 +175,9 @@
 
     private companion object {
         const val RECHECK_MILLISECONDS = 20L
+        const val PARTS_OF_TIME_LEFT = 3
+
+        /** About the time in which a full pool frees some room. */
+        const val SHORTEST_RETRY_MILLISECONDS = 200L
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestRun.kt
@@ -41,6 +41,12 @@
         TimeUnit.MILLISECONDS,
     )
 
+    private val abandonTimer: ScheduledFuture<*> = context.loop.schedule(
+        ::onAbandonTime,
+        maxOf(0L, plan.waiting.abandonAt - ANSWER_MARGIN_MILLISECONDS - context.clock.monotonicMilliseconds()),
+        TimeUnit.MILLISECONDS,
+    )
+
     /** Whether its answer has begun, so that another endpoint can only continue it. */
     val isContinuation: Boolean get() = hasBegun
 
@@ -78,7 +84,8 @@
         possibleRuns--
         rejections++
         leave(endpoint)
-        if (status == SERVICE_UNAVAILABLE || status == TOO_MANY) endpoint.noteFull(context.clock.monotonicMilliseconds())
+        val now = context.clock.monotonicMilliseconds()
+        if (status == MISDIRECTED) endpoint.noteReplaced(now) else endpoint.noteFull(now)
         val isRetried = rejections <= MOST_REJECTIONS && dispatcher.takeRetry()
         log("endpoint.rejected") {
             put("endpoint", endpoint.listed.id)
@@ -159,10 +166,29 @@
         attempt?.resumeReading()
     }
 
+    /** Takes the right to send the request once more while an endpoint still has it; false if there is none. */
+    internal fun mayMove(): Boolean = canRepeat() && dispatcher.takeRetry()
+
+    internal fun onMoved(endpoint: EndpointState, reason: String) {
+        endpoint.noteFailure(context.clock.monotonicMilliseconds(), isUnreachable = false)
+        leave(endpoint)
+        log("request.moved") {
+            put("endpoint", endpoint.listed.id)
+            put("reason", reason)
+            put("possible-runs", possibleRuns)
+        }
+        waitAgain()
+    }
+
     private fun canRepeat() = plan.route.rule != DispatchRule.AT_MOST_ONCE &&
         (!hasBegun || plan.route.rule == DispatchRule.RESUMABLE && lastEventId != null) &&
         possibleRuns < plan.route.maximumAttempts
 
+    /** The caller leaves about now, because nothing of the answer has come. */
+    private fun onAbandonTime() {
+        if (stage == Stage.WAITING && possibleRuns == 0) notRun("overload", SHORT_RETRY_MILLISECONDS)
+    }
+
     private fun onDeadline() {
         if (stage == Stage.ENDED) return
         stopAttempt()
@@ -207,6 +233,7 @@
         if (stage == Stage.ENDED) return
         stage = Stage.ENDED
         deadlineTimer.cancel(false)
+        abandonTimer.cancel(false)
         plan.request.body.release()
         onEnd()
         dispatcher.onEnded(this)
@@ -219,6 +246,8 @@
             put("milliseconds", now - plan.waiting.arrivedAt)
             if (hasBegun) put("first-event", firstEventAt - plan.waiting.arrivedAt)
             put("possible-runs", possibleRuns)
+            put("rank", plan.waiting.rank)
+            put("route-rank", plan.waiting.routeRank)
         }
         tell()
     }
@@ -235,12 +264,15 @@
         const val BAD_GATEWAY = 502
         const val SERVICE_UNAVAILABLE = 503
         const val GATEWAY_TIMEOUT = 504
-        const val TOO_MANY = 429
+        const val MISDIRECTED = 421
         const val FIRST_SERVER_ERROR = 500
 
         /** Sends that were refused or did not reach an endpoint, before the caller is asked to come back. */
         const val MOST_REJECTIONS = 4
 
+        /** A refusal must reach the caller before it leaves. */
+        const val ANSWER_MARGIN_MILLISECONDS = 50L
+
         /** About the time in which a full pool frees some room. */
         const val SHORT_RETRY_MILLISECONDS = 200L
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
@@ -38,12 +38,18 @@
         heardShare = heard.toDouble() / maxOf(heard, gateways, 1)
     }
 
-    /** Takes [units] of [account]; returns null, or the milliseconds until they will be there. */
-    public fun admit(account: ForwardingAccount, units: Long): Long? {
+    /**
+     * Takes [units] of [account]; returns null, or the milliseconds until they will be there.
+     *
+     * @param routeRank rank of the request's route: a part of the burst is kept for routes of higher rank, so that an
+     * account at its limit loses its least urgent requests first
+     */
+    public fun admit(account: ForwardingAccount, units: Long, routeRank: Int = 0): Long? {
         val quota = account.quota ?: return null
         val bucket = refilled(account.name, quota)
         // A request above the whole burst can only run from a full bucket.
-        val missing = minOf(units.toDouble(), quota.burstUnits) - bucket.level
+        val kept = quota.burstUnits * heardShare * minOf(routeRank * KEPT_PER_RANK, MOST_KEPT)
+        val missing = minOf(units.toDouble(), quota.burstUnits * heardShare - kept) + kept - bucket.level
         if (missing > 0) return (missing / (quota.unitsPerSecond * heardShare) * MILLISECONDS_PER_SECOND).toLong() + 1
         bucket.level -= units
         bucket.ownUnits += units
@@ -77,5 +83,9 @@
 
     private companion object {
         const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** Part of the burst that is kept for each rank above a request's own. */
+        const val KEPT_PER_RANK = 0.15
+        const val MOST_KEPT = 0.45
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
@@ -35,7 +35,8 @@
 
     private fun expectation(request: WaitingRequest, endpoint: EndpointState, typicalPace: Double): Double {
         val slowness = (endpoint.paceMilliseconds ?: typicalPace) / typicalPace
-        val work = BASE_TOKENS + endpoint.prefillTokens + request.promptTokens + endpoint.requests * TOKENS_PER_RUNNING
+        val work = BASE_TOKENS + endpoint.prefillTokens + request.promptTokens +
+            endpoint.requests * TOKENS_PER_RUNNING + request.outputTokens * TOKENS_PER_OUTPUT
         val failures = 1 + FAILURE_PENALTY * endpoint.recentFailures
         val distance = if (endpoint.listed.zone == zone) 1.0 else OTHER_ZONE
         return work * slowness * failures * distance * (1 + random.nextDouble() * TIE_SPREAD)
@@ -48,6 +49,9 @@
         /** What one running request delays the next first token, as prompt tokens. */
         const val TOKENS_PER_RUNNING = 300
 
+        /** Long answers lose most on a slow engine; they take the fast one although it has more to prefill. */
+        const val TOKENS_PER_OUTPUT = 10
+
         /** An endpoint that fails each request looks eleven times as slow. */
         const val FAILURE_PENALTY = 10.0
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -86,6 +86,11 @@
         suspendedUntil = now + (SHORTEST_SUSPENSION_MILLISECONDS shl doublings)
     }
 
+    /** Notes at [now] that another process answered at the endpoint's address: the listed one is gone or moved. */
+    public fun noteReplaced(now: Long) {
+        suspendedUntil = now + REPLACED_MILLISECONDS
+    }
+
     /** Notes that the endpoint refused a request at [now] because it is full. */
     public fun noteFull(now: Long) {
         fullUntil = now + FULL_MILLISECONDS
@@ -100,6 +105,9 @@
         /** Doubled with each failure in a row: 200 ms to 1.6 s, well under the time that crashed endpoints stay away. */
         const val SHORTEST_SUSPENSION_MILLISECONDS = 100L
 
+        /** The list tells of the successor within about this time. */
+        const val REPLACED_MILLISECONDS = 1_000L
+
         /** About the time in which one slot of a full batch frees. */
         const val FULL_MILLISECONDS = 100L
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
@@ -3,9 +3,11 @@
 import java.util.TreeSet
 
 /**
- * Requests of one pool that wait for room: by rank, then by the route's rank, then by the end of the latency objective.
+ * Requests of one pool that wait for room: by rank, then by the route's rank. Among equals, those that can still meet
+ * their latency objective come first, the most urgent of them leading; then those that are late.
  *
- * The load it answers: a crest at which all endpoints are full; what is less urgent waits.
+ * The load it answers: a crest at which all endpoints are full. What is less urgent waits, and a queue that is longer
+ * than the objective does not make every request late.
  */
 public class WaitingQueue {
     private val requests = TreeSet(
@@ -15,8 +17,16 @@
     /** Number of waiting requests. */
     public val size: Int get() = requests.size
 
-    /** The request whose turn it is, or null. */
-    public fun first(): WaitingRequest? = requests.firstOrNull()
+    /** The request whose turn it is at [now], or null. */
+    public fun first(now: Long): WaitingRequest? {
+        val oldest = requests.firstOrNull() ?: return null
+        val punctual = requests.ceiling(oldest.copy(targetAt = now + FIRST_EVENT_MILLISECONDS, sequence = 0))
+        return punctual?.takeIf { isEqual(it, oldest) } ?: oldest
+    }
+
+    /** All waiting requests, in the order of their turns at [now]. */
+    public fun inOrder(now: Long): List<WaitingRequest> = requests.groupBy { it.rank to it.routeRank }.values
+        .flatMap { group -> group.partition { it.targetAt >= now + FIRST_EVENT_MILLISECONDS }.toList().flatten() }
 
     /** Adds [request]. */
     public fun add(request: WaitingRequest) {
@@ -25,4 +35,12 @@
 
     /** Takes [request] out; false if it was not there. */
     public fun remove(request: WaitingRequest): Boolean = requests.remove(request)
+
+    private fun isEqual(one: WaitingRequest, other: WaitingRequest) =
+        one.rank == other.rank && one.routeRank == other.routeRank
+
+    private companion object {
+        /** What is sent this close to its objective misses it: connecting, prefill and the first step take longer. */
+        const val FIRST_EVENT_MILLISECONDS = 100L
+    }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -11,6 +11,7 @@
  * @property arrivedAt monotonic time of its arrival
  * @property targetAt monotonic time at which its latency objective ends
  * @property deadline monotonic time at which its caller or route gives up
+ * @property abandonAt monotonic time at which the caller leaves if nothing of the answer has come, at most [deadline]
  * @property promptTokens tokens to prefill; 0 for applications
  * @property outputTokens most tokens to generate; 0 for applications
  */
@@ -21,6 +22,7 @@
     public val arrivedAt: Long,
     public val targetAt: Long,
     public val deadline: Long,
+    public val abandonAt: Long,
     public val promptTokens: Long,
     public val outputTokens: Long,
 ) {
