--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -102,7 +102,7 @@
         const val FAILURES_TO_SUSPEND = 3
         const val MOST_DOUBLINGS = 4
 
-        /** Doubled with each failure in a row: 200 ms to 1.6 s, well under the time that crashed endpoints stay away. */
+        /** Doubled with each failure in a row, to 1.6 s at most: crashed endpoints stay away for longer. */
         const val SHORTEST_SUSPENSION_MILLISECONDS = 100L
 
         /** The list tells of the successor within about this time. */
