Give callers half of the tolerance beyond a quota; tell changes of the settings file

Change: AccountLedger extends a quota by half of overage and slack; the other half covers what gateways have not heard. SettingsWatcher logs changes with and without SIGHUP.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
@@ -34,8 +34,10 @@
         if (arguments.isCheckOnly) return
         val incarnation = Random(System.nanoTime()).nextLong(Long.MAX_VALUE).toString(INCARNATION_RADIX)
         val gateway = PlatformGateway(settings, incarnation, SystemClock)
-        Signal.handle(Signal("HUP")) { }
         gateway.start()
+        val watcher = SettingsWatcher(Path.of(arguments.settings), settings, ::read, gateway.log)
+        Signal.handle(Signal("HUP")) { watcher.check("signal") }
+        watcher.start()
         val stopped = CountDownLatch(1)
         Signal.handle(Signal("TERM")) {
             Thread {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayControl.kt
@@ -14,6 +14,7 @@
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.QuotaTolerance
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SoonestFirstToken
@@ -35,7 +36,8 @@
     private var listeners = emptyList<() -> Unit>()
 
     /** Use of accounts over all gateways. */
-    val ledger: AccountLedger = AccountLedger(clock)
+    val ledger: AccountLedger =
+        AccountLedger(clock, QuotaTolerance(settings.quota.overage, settings.quota.slackTokens))
 
     /** Age of the configuration in force. */
     val freshness: ConfigurationFreshness = ConfigurationFreshness(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -13,6 +13,7 @@
  * @property store address of the store that holds the configuration and the list of endpoints
  * @property configuration bounds of a configuration's way into force
  * @property retries limit of repeated requests, over all gateways
+ * @property quota what may pass beyond the quota of an account, over all gateways
  * @property stop bounds of a planned stop
  * @property endpoints bounds of an endpoint's leaving
  * @property requests bounds of what one gateway holds
@@ -27,6 +28,7 @@
     val store: StoreSettings,
     val configuration: ConfigurationSettings,
     val retries: RetrySettings,
+    val quota: QuotaSettings = QuotaSettings(),
     val stop: StopSettings,
     val endpoints: EndpointSettings,
     val requests: RequestSettings = RequestSettings(),
@@ -59,6 +61,15 @@
 @Serializable
 data class RetrySettings(val perRequest: Double, val fixed: Double, val windowSeconds: Double)
 
+/**
+ * What may pass beyond the quota of an account, over all gateways.
+ *
+ * @property overage part of the quota, default 0
+ * @property slackTokens tokens within any window beside that part, default 0
+ */
+@Serializable
+data class QuotaSettings(val overage: Double = 0.0, val slackTokens: Double = 0.0)
+
 /**
  * Bounds of a planned stop.
  *
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
@@ -12,8 +12,9 @@
  * sends many times its quota through all gateways at once.
  *
  * @property clock source of time
+ * @property tolerance what may pass beyond a quota
  */
-public class AccountLedger(private val clock: Clock) {
+public class AccountLedger(private val clock: Clock, private val tolerance: QuotaTolerance = QuotaTolerance.NONE) {
     private val buckets = HashMap<String, Bucket>()
     private var heardShare = 1.0
 
@@ -25,7 +26,7 @@
 
     /** Creates the buckets of [accounts], empty: what was used before this gateway started is not known yet. */
     public fun prepare(accounts: Collection<ForwardingAccount>) {
-        accounts.forEach { account -> account.quota?.let { refilled(account.name, it) } }
+        accounts.forEach { account -> account.quota?.let { refilled(account.name, tolerance.extend(it)) } }
     }
 
     /** Takes over the [levels] that a peer sees, at the first message heard after a start. */
@@ -45,7 +46,7 @@
      * account at its limit loses its least urgent requests first
      */
     public fun admit(account: ForwardingAccount, units: Long, routeRank: Int = 0): Long? {
-        val quota = account.quota ?: return null
+        val quota = account.quota?.let(tolerance::extend) ?: return null
         val bucket = refilled(account.name, quota)
         // A request above the whole burst can only run from a full bucket.
         val kept = quota.burstUnits * heardShare * minOf(routeRank * KEPT_PER_RANK, MOST_KEPT)
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/AccountLedgerTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/AccountLedgerTest.kt
@@ -44,6 +44,16 @@
         assertNull(ledger.admit(account, 10_000))
     }
 
+    @Test
+    fun `half of the tolerance goes to callers`() {
+        val clock = ManualClock()
+        val ledger = AccountLedger(clock, QuotaTolerance(overage = 0.1, slackUnits = 2_000.0))
+        ledger.prepare(listOf(account))
+        clock.advance(5_000)
+        assertNull(ledger.admit(account, 11_500))
+        assertNotNull(ledger.admit(account, 1))
+    }
+
     private class Case(val name: String, val gateways: Int, val delayMilliseconds: Long, val heardWithin: Boolean)
 
     private val cases = listOf(
