Let nothing pass beyond a quota while endpoints are full

Change: AccountLedger.admit takes whether the pool has room (nothing waits, a quarter of the slots free).

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -114,7 +114,7 @@
         val pool = choosePool(route)
         ensure(control.pool(pool).waiting < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
         val tokens = tokenCount(request)
-        val units = charge(account, tokens, route).bind()
+        val units = charge(account, tokens, route, control.pool(pool).hasRoom).bind()
         RequestPlan(
             id,
             request,
@@ -155,10 +155,13 @@
         account: ForwardingAccount?,
         tokens: TokenCount?,
         route: ForwardingRoute,
+        hasRoom: Boolean,
     ): Either<Refusal, Long> {
         val quota = account?.quota ?: return 0L.right()
         val units = quota.unitsOf(tokens?.let { it.prompt + it.output })
-        val wait = control.ledger.admit(account, units, if (tokens == null) 0 else route.rank) ?: return units.right()
+        // Requests without a token count are small and take next to nothing from the account.
+        val rank = if (tokens == null) 0 else route.rank
+        val wait = control.ledger.admit(account, units, rank, hasRoom) ?: return units.right()
         context.log.write("account.over-quota") {
             put("account", account.name)
             put("units", units)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayControl.kt
@@ -194,7 +194,7 @@
     }
 
     private companion object {
-        /** Requests with keys end this long before the bound, which leaves time for the request to reach an endpoint. */
+        /** Of the bound for revoked keys; the rest is for the way of a request to its endpoint. */
         const val FENCE_PERCENT = 75
         const val PERCENT = 100
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -45,6 +45,11 @@
     /** Endpoints that take requests. */
     val usableEndpoints: Int get() = endpoints.values.count { !it.isClosed }
 
+    /** Whether nothing waits and at least a quarter of the slots is free. */
+    val hasRoom: Boolean get() = queue.size == 0 && freeSlots * ROOM_PARTS >= slots
+
+    private val slots: Int get() = endpoints.values.filter { !it.isClosed }.sumOf { it.listed.slots }
+
     /** Slots of endpoints that no request of any gateway takes, as far as is known. */
     val freeSlots: Int get() = endpoints.values.filter {
         !it.isClosed
@@ -128,19 +133,22 @@
     private fun pump() {
         if (isPumping) return
         isPumping = true
-        while (true) {
-            val now = clock.monotonicMilliseconds()
-            val request = queue.first(now) ?: break
-            val endpoint = chooser.choose(request, endpoints.values, now) ?: break
-            queue.remove(request)
-            forecast.noteDispatch(now, isQueueLeft = queue.size > 0)
-            runs.remove(request.sequence)?.dispatch(endpoint)
-            onChange()
-        }
+        while (sendNext()) onChange()
         isPumping = false
         if (queue.size > 0) setTimer()
     }
 
+    /** Sends the request whose turn it is; false if there is none, or no room for it. */
+    private fun sendNext(): Boolean {
+        val now = clock.monotonicMilliseconds()
+        val request = queue.first(now) ?: return false
+        val endpoint = chooser.choose(request, endpoints.values, now) ?: return false
+        queue.remove(request)
+        forecast.noteDispatch(now, isQueueLeft = queue.size > 0)
+        runs.remove(request.sequence)?.dispatch(endpoint)
+        return true
+    }
+
     /** Refuses what will not be sent in time as the queue stands now. */
     private fun refuseHopeless() {
         val now = clock.monotonicMilliseconds()
@@ -178,6 +186,7 @@
 
     private companion object {
         const val RECHECK_MILLISECONDS = 20L
+        const val ROOM_PARTS = 4
         const val PARTS_OF_TIME_LEFT = 3
 
         /** About the time in which a full pool frees some room. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
@@ -44,13 +44,17 @@
      *
      * @param routeRank rank of the request's route: a part of the burst is kept for routes of higher rank, so that an
      * account at its limit loses its least urgent requests first
+     * @param hasRoom whether endpoints are free; if not, nothing passes beyond the quota itself, as that would take room
+     * from accounts that keep to theirs
      */
-    public fun admit(account: ForwardingAccount, units: Long, routeRank: Int = 0): Long? {
+    public fun admit(account: ForwardingAccount, units: Long, routeRank: Int = 0, hasRoom: Boolean = true): Long? {
         val quota = account.quota?.let(tolerance::extend) ?: return null
         val bucket = refilled(account.name, quota)
+        val full = quota.burstUnits * heardShare
+        val kept = full * minOf(routeRank * KEPT_PER_RANK, MOST_KEPT)
+        val beyond = if (hasRoom) 0.0 else full - account.quota!!.burstUnits * heardShare
         // A request above the whole burst can only run from a full bucket.
-        val kept = quota.burstUnits * heardShare * minOf(routeRank * KEPT_PER_RANK, MOST_KEPT)
-        val missing = minOf(units.toDouble(), quota.burstUnits * heardShare - kept) + kept - bucket.level
+        val missing = minOf(units + kept + beyond, full) - bucket.level
         if (missing > 0) return (missing / (quota.unitsPerSecond * heardShare) * MILLISECONDS_PER_SECOND).toLong() + 1
         bucket.level -= units
         bucket.ownUnits += units
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/AccountLedgerTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/AccountLedgerTest.kt
@@ -54,6 +54,17 @@
         assertNotNull(ledger.admit(account, 1))
     }
 
+    @Test
+    fun `nothing passes beyond the quota while endpoints are full`() {
+        val clock = ManualClock()
+        val ledger = AccountLedger(clock, QuotaTolerance(overage = 0.1, slackUnits = 2_000.0))
+        ledger.prepare(listOf(account))
+        clock.advance(5_000)
+        assertNull(ledger.admit(account, 10_000, hasRoom = false))
+        assertNotNull(ledger.admit(account, 1, hasRoom = false))
+        assertNull(ledger.admit(account, 1, hasRoom = true))
+    }
+
     private class Case(val name: String, val gateways: Int, val delayMilliseconds: Long, val heardWithin: Boolean)
 
     private val cases = listOf(
