--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/AccountLedger.kt
@@ -44,8 +44,8 @@
      *
      * @param routeRank rank of the request's route: a part of the burst is kept for routes of higher rank, so that an
      * account at its limit loses its least urgent requests first
-     * @param hasRoom whether endpoints are free; if not, nothing passes beyond the quota itself, as that would take room
-     * from accounts that keep to theirs
+     * @param hasRoom whether endpoints are free; if not, nothing passes beyond the quota itself, since that would take
+     * room from accounts that keep to theirs
      */
     public fun admit(account: ForwardingAccount, units: Long, routeRank: Int = 0, hasRoom: Boolean = true): Long? {
         val quota = account.quota?.let(tolerance::extend) ?: return null
