Keep an endpoint whose entry lapsed while the store was away

Cause: entries that lapse during an outage come back within two seconds of the store's return, but the tombstones that the feed brings were taken as departures, so all endpoints could vanish at once.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayControl.kt
@@ -111,12 +111,6 @@
 
     override fun onConfigurationUnchanged(askedAt: Long, gapsThen: Int) = freshness.confirm(askedAt, gapsThen)
 
-    override fun onEndpoints(listed: List<ListedEndpoint>, keepMissing: Boolean) {
-        val present = listed.map { it.id }.toSet()
-        listed.forEach(::onEndpointChanged)
-        if (!keepMissing) (poolOfEndpoint.keys - present).forEach(::onEndpointGone)
-    }
-
     override fun onEndpointChanged(endpoint: ListedEndpoint) {
         val previousPool = poolOfEndpoint.put(endpoint.id, endpoint.pool)
         if (previousPool != null && previousPool != endpoint.pool) pool(previousPool).remove(endpoint.id)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
@@ -21,9 +21,6 @@
     /** The store holds nothing newer than the configuration in force. */
     fun onConfigurationUnchanged(askedAt: Long, gapsThen: Int)
 
-    /** [listed] are all endpoints; those that are missing are gone, but for [keepMissing]. */
-    fun onEndpoints(listed: List<ListedEndpoint>, keepMissing: Boolean)
-
     /** [endpoint] is new or has changed. */
     fun onEndpointChanged(endpoint: ListedEndpoint)
 
