--- a/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/PlatformCommand.kt
@@ -2,11 +2,6 @@
 
 import arrow.core.Either
 import kotlinx.coroutines.runBlocking
-import org.guavahatch.model.configuration.ConfigurationDifference
-import org.guavahatch.model.configuration.ConfigurationReader
-import org.guavahatch.model.configuration.ConfigurationSet
-import org.guavahatch.model.configuration.ConfigurationVersion
-import org.guavahatch.model.time.SystemClock
 import org.guavahatch.coordination.http.HttpObjectStore
 import org.guavahatch.coordination.http.HttpTableService
 import org.guavahatch.coordination.http.PlatformClient
@@ -14,6 +9,11 @@
 import org.guavahatch.coordination.publication.ConfigurationStore
 import org.guavahatch.coordination.store.PlatformError
 import org.guavahatch.coordination.store.TableService
+import org.guavahatch.model.configuration.ConfigurationDifference
+import org.guavahatch.model.configuration.ConfigurationReader
+import org.guavahatch.model.configuration.ConfigurationSet
+import org.guavahatch.model.configuration.ConfigurationVersion
+import org.guavahatch.model.time.SystemClock
 import org.kohsuke.args4j.Option
 
 /** What a command works with at the platform. */
--- a/cli/src/main/kotlin/org/guavahatch/cli/command/PublishingCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/PublishingCommand.kt
@@ -1,8 +1,8 @@
 package org.guavahatch.cli.command
 
-import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.coordination.publication.PublicationRequest
 import org.guavahatch.coordination.publication.PublicationResult
+import org.guavahatch.model.configuration.ConfigurationVersion
 import org.kohsuke.args4j.Option
 import java.util.UUID
 
--- a/coordination/src/main/kotlin/org/guavahatch/coordination/claim/ClaimKeeper.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/claim/ClaimKeeper.kt
@@ -5,13 +5,13 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
-import org.guavahatch.model.time.Clock
 import org.guavahatch.coordination.store.ConditionalWrite
 import org.guavahatch.coordination.store.PlatformError
 import org.guavahatch.coordination.store.RowCondition
 import org.guavahatch.coordination.store.TableRow
 import org.guavahatch.coordination.store.TableService
 import org.guavahatch.coordination.store.TransactionResult
+import org.guavahatch.model.time.Clock
 
 /**
  * Claims idempotency keys through the table service. The row of a key carries the attempt that won it, so an attempt
--- a/coordination/src/main/kotlin/org/guavahatch/coordination/lease/FencedLease.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/lease/FencedLease.kt
@@ -3,12 +3,12 @@
 import arrow.core.getOrElse
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.guavahatch.model.time.Clock
 import org.guavahatch.coordination.store.ConditionalWrite
 import org.guavahatch.coordination.store.RowCondition
 import org.guavahatch.coordination.store.TableRow
 import org.guavahatch.coordination.store.TableService
 import org.guavahatch.coordination.store.TransactionResult
+import org.guavahatch.model.time.Clock
 
 /**
  * Row of a lease.
--- a/coordination/src/main/kotlin/org/guavahatch/coordination/publication/ConfigurationPublisher.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/publication/ConfigurationPublisher.kt
@@ -3,18 +3,18 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import kotlinx.coroutines.delay
-import org.guavahatch.model.configuration.ConfigurationDifference
-import org.guavahatch.model.configuration.ConfigurationReader
-import org.guavahatch.model.configuration.ConfigurationSet
-import org.guavahatch.model.configuration.ConfigurationVersion
-import org.guavahatch.model.configuration.ContentHash
-import org.guavahatch.model.time.Clock
 import org.guavahatch.coordination.store.ConditionalWrite
 import org.guavahatch.coordination.store.ObjectStore
 import org.guavahatch.coordination.store.PlatformError
 import org.guavahatch.coordination.store.RowCondition
 import org.guavahatch.coordination.store.TableService
 import org.guavahatch.coordination.store.TransactionResult
+import org.guavahatch.model.configuration.ConfigurationDifference
+import org.guavahatch.model.configuration.ConfigurationReader
+import org.guavahatch.model.configuration.ConfigurationSet
+import org.guavahatch.model.configuration.ConfigurationVersion
+import org.guavahatch.model.configuration.ContentHash
+import org.guavahatch.model.time.Clock
 
 /**
  * What is to be published.
--- a/coordination/src/main/kotlin/org/guavahatch/coordination/publication/ConfigurationStore.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/publication/ConfigurationStore.kt
@@ -2,12 +2,12 @@
 
 import arrow.core.Either
 import kotlinx.serialization.json.Json
-import org.guavahatch.model.configuration.ConfigurationVersion
-import org.guavahatch.model.configuration.ContentHash
 import org.guavahatch.coordination.store.ObjectStore
 import org.guavahatch.coordination.store.PlatformError
 import org.guavahatch.coordination.store.TableRow
 import org.guavahatch.coordination.store.TableService
+import org.guavahatch.model.configuration.ConfigurationVersion
+import org.guavahatch.model.configuration.ContentHash
 
 /**
  * The head as it stands in the table service.
--- a/coordination/src/main/kotlin/org/guavahatch/coordination/publication/Publication.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/publication/Publication.kt
@@ -1,10 +1,10 @@
 package org.guavahatch.coordination.publication
 
 import kotlinx.serialization.Serializable
+import org.guavahatch.coordination.store.PlatformError
 import org.guavahatch.model.check.DocumentError
 import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.model.configuration.ObjectDifference
-import org.guavahatch.coordination.store.PlatformError
 
 /**
  * An accepted publication, as the head and the history keep it.
--- a/coordination/src/test/kotlin/org/guavahatch/coordination/publication/PublicationInterleavingTest.kt
+++ b/coordination/src/test/kotlin/org/guavahatch/coordination/publication/PublicationInterleavingTest.kt
@@ -4,10 +4,10 @@
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
-import org.guavahatch.model.configuration.ConfigurationVersion
 import org.guavahatch.coordination.fake.FakeObjects
 import org.guavahatch.coordination.fake.FaultyTable
 import org.guavahatch.coordination.fake.TestTime
+import org.guavahatch.model.configuration.ConfigurationVersion
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
