--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -42,9 +42,6 @@
     var open: Int = 0
         private set
 
-    /** Endpoints that take requests. */
-    val usableEndpoints: Int get() = endpoints.values.count { !it.isClosed }
-
     /** Whether nothing waits and at least a quarter of the slots is free. */
     val hasRoom: Boolean get() = queue.size == 0 && freeSlots * ROOM_PARTS >= slots
 
@@ -109,9 +106,6 @@
         connector.forget(state.listed.address)
     }
 
-    /** Ids of the known endpoints. */
-    fun endpointIds(): Set<EndpointId> = endpoints.keys.toSet()
-
     /** Takes in the load that peers reported. */
     fun noteReports() {
         val reports = peers.fresh()
