--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -18,6 +18,7 @@
 import org.guavahatch.gateway.request.RequestContext
 import org.guavahatch.gateway.request.RequestPlan
 import org.guavahatch.gateway.request.RequestRun
+import org.guavahatch.gateway.request.putTokens
 import org.guavahatch.gateway.settings.RequestSettings
 import org.guavahatch.model.forwarding.CallerLimits
 import org.guavahatch.model.forwarding.ForwardingAccount
@@ -100,6 +101,7 @@
             put("request", request.headers.get(headers.requestId).orEmpty())
             put("status", refusal.status.code())
             put("reason", refusal.reason)
+            tokenCount(request)?.let { putTokens(it.prompt, it.output) }
             put("configuration", control.configuration?.version ?: 0)
             put("age", control.freshness.ageMilliseconds() ?: -1)
             refusal.retryAfterMilliseconds?.let { put("retry-after", it) }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestEnding.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestEnding.kt
@@ -18,6 +18,7 @@
     private var firstEventAt = 0L
     private var lastEventAt = 0L
     private var longestPause = 0L
+    private var events = 0
 
     /** Whether the request has ended. */
     var isOver: Boolean = false
@@ -36,6 +37,7 @@
         val now = context.clock.monotonicMilliseconds()
         if (lastEventAt != 0L) longestPause = maxOf(longestPause, now - lastEventAt)
         lastEventAt = now
+        events++
     }
 
     /** Ends with the whole answer of an endpoint. */
@@ -87,7 +89,12 @@
             status?.let { put("status", it) }
             put("milliseconds", duration)
             if (history.hasBegun) put("first-event", firstEventAt - plan.waiting.arrivedAt)
-            if (lastEventAt != 0L) put("longest-pause", longestPause)
+            if (lastEventAt != 0L) {
+                put("longest-pause", longestPause)
+                put("last-event", lastEventAt - plan.waiting.arrivedAt)
+                put("events", events)
+            }
+            if (plan.waiting.promptTokens > 0) putTokens(plan.waiting.promptTokens, plan.waiting.outputTokens)
             put("possible-runs", history.possibleRuns)
             put("rank", plan.waiting.rank)
             put("route-rank", plan.waiting.routeRank)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
@@ -36,3 +36,9 @@
     put("route", plan.route.name)
     fields()
 }
+
+/** Adds the size of a request: what it has to read and may generate. */
+internal fun LogLine.putTokens(prompt: Long, output: Long) {
+    put("prompt-tokens", prompt)
+    put("output-tokens", output)
+}
