Log the caller's estimate of the length of an answer

Change: the estimate is decoded and logged beside the other sizes, as estimated-tokens. No decision reads it.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayHeaders.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayHeaders.kt
@@ -9,6 +9,7 @@
  * @property account name of the account, set by the gateway
  * @property expectedEndpoint id of the endpoint that alone may run the request, set by the gateway
  * @property tokenCount prompt tokens and most output tokens, separated by a comma
+ * @property lengthHint the caller's estimate of the output tokens, right at the median but often far off
  * @property notRun tells in an endpoint's answer that it has not run the request
  * @property load in an endpoint's answer: requests running, requests waiting, slots and more, separated by commas
  * @property lastEventId id of the last event that the receiver of a stream has
@@ -21,6 +22,7 @@
     val account: String,
     val expectedEndpoint: String,
     val tokenCount: String,
+    val lengthHint: String,
     val notRun: String,
     val load: String,
     val lastEventId: String,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -101,7 +101,7 @@
             put("request", request.headers.get(headers.requestId).orEmpty())
             put("status", refusal.status.code())
             put("reason", refusal.reason)
-            tokenCount(request)?.let { putTokens(it.prompt, it.output) }
+            tokenCount(request)?.let { putTokens(it.prompt, it.output, it.estimated) }
             put("configuration", control.configuration?.version ?: 0)
             put("age", control.freshness.ageMilliseconds() ?: -1)
             refusal.retryAfterMilliseconds?.let { put("retry-after", it) }
@@ -202,6 +202,7 @@
             abandonAt = request.receivedAt + minOf(limit, patience(route)),
             promptTokens = tokens?.prompt ?: 0,
             outputTokens = tokens?.output ?: 0,
+            estimatedTokens = tokens?.estimated,
             longestPause = route.maximumPauseMilliseconds,
         )
     }
@@ -230,10 +231,10 @@
         val parts = request.headers.get(headers.tokenCount)?.split(',') ?: return null
         val prompt = parts.getOrNull(0)?.trim()?.toLongOrNull() ?: return null
         val output = parts.getOrNull(1)?.trim()?.toLongOrNull() ?: 0
-        return TokenCount(prompt, output)
+        return TokenCount(prompt, output, request.headers.get(headers.lengthHint)?.trim()?.toDoubleOrNull()?.toLong())
     }
 
-    private data class TokenCount(val prompt: Long, val output: Long)
+    private data class TokenCount(val prompt: Long, val output: Long, val estimated: Long?)
 
     private data class Refusal(
         val status: HttpResponseStatus,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -77,10 +77,8 @@
             put("configuration", plan.configurationVersion)
             put("own-requests", endpoint.ownRequests)
             put("peer-requests", endpoint.peerRequests)
-            if (plan.waiting.promptTokens > 0) {
-                putTokens(plan.waiting.promptTokens, plan.waiting.outputTokens)
-                put("prefill-tokens", endpoint.prefillTokens)
-            }
+            putTokens(plan)
+            if (plan.waiting.promptTokens > 0) put("prefill-tokens", endpoint.prefillTokens)
             endpoint.prefillMillisecondsPerToken?.let { put("prefill-pace", it) }
             endpoint.paceMilliseconds?.let { put("pace", it) }
             plan.account?.let { put("account", it.name) }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestEnding.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestEnding.kt
@@ -94,7 +94,7 @@
                 put("last-event", lastEventAt - plan.waiting.arrivedAt)
                 put("events", events)
             }
-            if (plan.waiting.promptTokens > 0) putTokens(plan.waiting.promptTokens, plan.waiting.outputTokens)
+            putTokens(plan)
             put("possible-runs", history.possibleRuns)
             put("rank", plan.waiting.rank)
             put("route-rank", plan.waiting.routeRank)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
@@ -37,8 +37,13 @@
     fields()
 }
 
-/** Adds the size of a request: what it has to read and may generate. */
-internal fun LogLine.putTokens(prompt: Long, output: Long) {
+/** Adds the size of a request: tokens to read, tokens to generate at most, and the caller's estimate of those. */
+internal fun LogLine.putTokens(prompt: Long, output: Long, estimated: Long?) {
     put("prompt-tokens", prompt)
     put("output-tokens", output)
+    estimated?.let { put("estimated-tokens", it) }
 }
+
+/** Adds the size of the request of [plan]. */
+internal fun LogLine.putTokens(plan: RequestPlan) =
+    plan.waiting.run { if (promptTokens > 0) putTokens(promptTokens, outputTokens, estimatedTokens) }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -14,6 +14,7 @@
  * @property abandonAt monotonic time at which the caller leaves if nothing of the answer has come, at most [deadline]
  * @property promptTokens tokens to prefill; 0 for applications
  * @property outputTokens most tokens to generate; 0 for applications
+ * @property estimatedTokens the caller's estimate of the tokens to generate, or null
  * @property longestPause objective of the pause between events in milliseconds, or null
  */
 public data class WaitingRequest(
@@ -26,6 +27,7 @@
     public val abandonAt: Long,
     public val promptTokens: Long,
     public val outputTokens: Long,
+    public val estimatedTokens: Long? = null,
     public val longestPause: Long? = null,
 ) {
     /** Its place among ranks: requests with a smaller one go first, whatever their times. */
