Give up answers without end before they fill the memory or hold a caller

Cause: a gateway collected the body of an answer, and an event without a blank line, without a bound; what it passes over (interim answers, answers to earlier requests) held the caller until its time limit. Ruled out: heads of too many or too long fields, blank lines, chunk sizes and trailers, which Netty's decoder bounds (the cases pass before and after). Change: between two steps of an answer (sent, head, event that is passed on) an endpoint may send 1 MiB, counted before the decoder; answers and events that are not whole may hold 8 MiB in a gateway together. Beyond that the connection is closed and the request ends as after any broken answer: orders with 502, repeatable ones elsewhere. Both limits are settings. The same cause elsewhere: the sidecar read events without a bound (EventStreamReaderTest). Its other answers go through a window; the store's answers are bounded already. After: all cases of EndlessAnswerTest pass, in under half of the caller's time.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EventStreamReader.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EventStreamReader.kt
@@ -2,7 +2,8 @@
 
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.LineEnding
-import io.ktor.utils.io.readLine
+import io.ktor.utils.io.charsets.TooLongLineException
+import io.ktor.utils.io.readLineStrict
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
@@ -32,11 +33,17 @@
     @Serializable
     private data class Chunk(val choices: List<Choice> = emptyList(), val usage: Usage? = null)
 
-    /** The next event, or null if the stream has ended. */
+    /**
+     * The next event, or null if the stream has ended.
+     *
+     * @throws TooLongLineException if the event is longer than [MAXIMUM_EVENT_CHARACTERS]
+     */
     suspend fun next(): StreamEvent? {
         val event = StringBuilder()
         while (true) {
-            val line = input.readLine(LineEnding.Lenient) ?: return null
+            val room = MAXIMUM_EVENT_CHARACTERS - event.length
+            if (room <= 0) throw TooLongLineException("An event has more than $MAXIMUM_EVENT_CHARACTERS characters.")
+            val line = input.readLineStrict(room, LineEnding.Lenient) ?: return null
             event.append(line).append('\n')
             if (line.isEmpty()) return parse(event.toString())
         }
@@ -61,6 +68,8 @@
     }
 
     private companion object {
+        /** Far above what engines put into an event: a token, or a few. */
+        const val MAXIMUM_EVENT_CHARACTERS = 1L shl 20
         const val DATA = "data:"
         const val DONE = "[DONE]"
         val json = Json { ignoreUnknownKeys = true }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -34,7 +34,7 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val random = Random(incarnation.hashCode() + clock.wallMilliseconds())
-    private val connector = EndpointConnector(group, clock, headers.requestId)
+    private val connector = EndpointConnector(group, clock, headers.requestId, settings.endpoints.maximumAnswerBytes)
     private val metrics = GatewayMetrics()
 
     /** Decisions are written here. */
@@ -43,7 +43,9 @@
     /** What the gateway believes; adapters tell it what they learn, on [loop]. */
     val control: GatewayControl = GatewayControl(settings, incarnation, loop, clock, log, connector, random)
 
-    private val context = RequestContext(loop, clock, headers, connector, control.ledger, log, metrics)
+    private val heldAnswers = HeldBytes(settings.endpoints.maximumHeldBytes)
+    private val context =
+        RequestContext(loop, clock, headers, connector, control.ledger, heldAnswers, log, metrics)
     private val admission = Admission(control, context, settings.requests, random)
     private val callers = CallerServer(group, admission, clock)
     private var stopSignal = CountDownLatch(1)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
 import org.guavahatch.gateway.GatewayHeaders
+import org.guavahatch.gateway.HeldBytes
 import org.guavahatch.gateway.caller.CallerRequest
 import org.guavahatch.gateway.caller.CallerRequestListener
 import org.guavahatch.gateway.caller.CallerResponder
@@ -37,13 +38,13 @@
 ) : RequestIntake {
     private val headers: GatewayHeaders get() = context.headers
     private var sequence = 0L
-    private var heldBytes = 0L
+    private val heldBodies = HeldBytes(settings.maximumBodyBytes)
 
     override var isStopping: Boolean = false
 
     override val limits: CallerLimits get() = control.configuration?.limits ?: FIRST_LIMITS
 
-    override fun canHold(bytes: Int): Boolean = heldBytes + bytes <= settings.maximumBodyBytes
+    override fun canHold(bytes: Int): Boolean = heldBodies.hasRoom(bytes.toLong())
 
     override fun accept(request: CallerRequest, responder: CallerResponder): CallerRequestListener? =
         if (isConfigurationUsable()) proceed(request, responder) else HeldRequest(request, responder).also { hold(it) }
@@ -86,10 +87,10 @@
     }
 
     private fun start(plan: RequestPlan, responder: CallerResponder): CallerRequestListener {
-        val size = plan.request.body.readableBytes()
-        heldBytes += size
+        val size = plan.request.body.readableBytes().toLong()
+        heldBodies.add(size)
         val pool = control.pool(plan.pool)
-        val run = RequestRun(plan, responder, pool, context) { heldBytes -= size }
+        val run = RequestRun(plan, responder, pool, context) { heldBodies.add(-size) }
         pool.submit(run)
         return run
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -33,10 +33,11 @@
  * Answers that do not name the request that was sent last belong to an earlier one and are passed over. Bytes that come
  * while no request is out close the connection.
  */
-class EndpointConnection(
+class EndpointConnection internal constructor(
     val channel: Channel,
     private val requestIdHeader: String,
     private val pool: IdleConnections,
+    private val limit: ProgressLimit,
 ) : ChannelInboundHandlerAdapter() {
     private var answer: EndpointAnswer? = null
     private var requestId = ""
@@ -56,12 +57,16 @@
         requestId = id
         isBodyWritten = false
         isReading = false
+        limit.noteProgress()
         channel.writeAndFlush(request).addListener { future ->
             isBodyWritten = future.isSuccess
             if (!future.isSuccess) channel.close()
         }
     }
 
+    /** Notes that an event of the present answer is whole. */
+    fun noteProgress() = limit.noteProgress()
+
     /** Gives up the present request: the endpoint sees the connection close. */
     fun abandon() {
         answer = null
@@ -89,6 +94,7 @@
         isSkipping = response.headers().get(requestIdHeader) != requestId
         if (isSkipping) return
         isReading = true
+        limit.noteProgress()
         isLastUse = !HttpUtil.isKeepAlive(response) || !isSelfDelimited(response)
         keepAliveMilliseconds = KeepAliveHeader.timeoutMilliseconds(response.headers().get("Keep-Alive"))
             ?: keepAliveMilliseconds
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -15,8 +15,17 @@
 import org.guavahatch.gateway.SocketAddresses
 import org.guavahatch.model.time.Clock
 
-/** Opens and keeps connections to endpoints. */
-class EndpointConnector(loop: EventLoopGroup, private val clock: Clock, private val requestIdHeader: String) {
+/**
+ * Opens and keeps connections to endpoints.
+ *
+ * @property maximumAnswerBytes bytes that an endpoint may send without coming further in an answer
+ */
+class EndpointConnector(
+    loop: EventLoopGroup,
+    private val clock: Clock,
+    private val requestIdHeader: String,
+    private val maximumAnswerBytes: Long,
+) {
     private val idleByAddress = HashMap<String, IdleConnections>()
     private val bootstrap = Bootstrap()
         .group(loop)
@@ -25,7 +34,8 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
         .handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
-                channel.pipeline().addLast(HttpRequestEncoder(), HttpResponseDecoder())
+                channel.pipeline()
+                    .addLast(ProgressLimit(maximumAnswerBytes), HttpRequestEncoder(), HttpResponseDecoder())
             }
         })
 
@@ -48,8 +58,10 @@
                 val reason = future.cause().message ?: future.cause().javaClass.simpleName
                 return@addListener use(EndpointUnreachable(address, reason).left())
             }
-            val connection = EndpointConnection(channelFuture.channel(), requestIdHeader, idle)
-            channelFuture.channel().pipeline().addLast(connection)
+            val pipeline = channelFuture.channel().pipeline()
+            val limit = pipeline.get(ProgressLimit::class.java)
+            val connection = EndpointConnection(channelFuture.channel(), requestIdHeader, idle, limit)
+            pipeline.addLast(connection)
             use(connection.right())
         }
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -32,6 +32,7 @@
     private var lastEventAt = 0L
     private var stallTimer: ScheduledFuture<*>? = null
     private var collected: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var heldBytes = 0L
 
     /** Connects and sends. */
     fun start(lastEventId: Long?, isLater: Boolean) {
@@ -121,11 +122,20 @@
 
     override fun onData(data: ByteBuf) {
         if (isOver) return
-        if (!isStream) {
-            collect(data)
-            return
-        }
-        splitter.feed(data, ::onEvent)
+        if (isStream) splitter.feed(data, ::onEvent) else collect(data)
+        if (isOver) return
+        hold((splitter.restBytes + collected.readableBytes()).toLong())
+        if (heldBytes > 0 && !context.heldAnswers.hasRoom(0)) breakOff("no room for the answer")
+    }
+
+    private fun hold(bytes: Long) {
+        context.heldAnswers.add(bytes - heldBytes)
+        heldBytes = bytes
+    }
+
+    private fun breakOff(reason: String) {
+        connection?.abandon()
+        onBroken(reason)
     }
 
     private fun collect(data: ByteBuf) {
@@ -146,7 +156,7 @@
         unreadTokens = 0
         if (lastEventAt != 0L) endpoint.notePace((now - lastEventAt).toDouble())
         lastEventAt = now
-        run.onEvent(event, checkNotNull(response))
+        if (run.onEvent(event, checkNotNull(response))) connection?.noteProgress()
     }
 
     override fun onComplete() {
@@ -212,6 +222,7 @@
     private fun finish() {
         isOver = true
         stallTimer?.cancel(false)
+        hold(0)
         endpoint.noteEnded(unreadTokens)
         resumeReading()
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
@@ -25,6 +25,9 @@
         bytes.release()
     }
 
+    /** Number of bytes that do not make a whole event. */
+    val restBytes: Int get() = rest.readableBytes()
+
     /** Bytes that do not make a whole event. */
     fun takeRest(): ByteBuf = rest.also { rest = Unpooled.EMPTY_BUFFER }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop
 import org.guavahatch.gateway.GatewayHeaders
+import org.guavahatch.gateway.HeldBytes
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.observation.GatewayMetrics
@@ -16,6 +17,7 @@
  * @property headers names of headers
  * @property connector connections to endpoints
  * @property ledger use of accounts
+ * @property heldAnswers bytes of answers that are not whole yet
  * @property log decisions
  * @property metrics counters
  */
@@ -25,6 +27,7 @@
     val headers: GatewayHeaders,
     val connector: EndpointConnector,
     val ledger: AccountLedger,
+    val heldAnswers: HeldBytes,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestRun.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestRun.kt
@@ -95,15 +95,17 @@
         }
     }
 
-    internal fun onEvent(event: StreamEvent, response: HttpResponse) {
+    /** Passes [event] on; false if the caller has it already. */
+    internal fun onEvent(event: StreamEvent, response: HttpResponse): Boolean {
         if (!history.noteEvent(event.id)) {
             event.bytes.release()
-            return
+            return false
         }
         ending.begin(response)
         ending.noteEvent()
         responder.write(event.bytes)
         if (!responder.isWritable) attempt?.pauseReading()
+        return true
     }
 
     internal fun onStreamComplete(endpoint: EndpointState, response: HttpResponse, rest: ByteBuf) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -15,7 +15,7 @@
  * @property retries limit of repeated requests, over all gateways
  * @property quota what may pass beyond the quota of an account, over all gateways
  * @property stop bounds of a planned stop
- * @property endpoints bounds of an endpoint's leaving
+ * @property endpoints bounds of what endpoints do
  * @property requests bounds of what one gateway holds
  */
 @Serializable
@@ -79,12 +79,18 @@
 data class StopSettings(val graceSeconds: Double)
 
 /**
- * Bounds of an endpoint's leaving.
+ * Bounds of what endpoints do.
  *
  * @property drainMilliseconds time that an endpoint still serves after it was known to leave
+ * @property maximumAnswerBytes size of an answer, of an event of a stream, and of what is passed over before an answer
+ * @property maximumHeldBytes bytes of answers and events that are not whole yet, over all requests of the gateway
  */
 @Serializable
-data class EndpointSettings(val drainMilliseconds: Long)
+data class EndpointSettings(
+    val drainMilliseconds: Long,
+    val maximumAnswerBytes: Long = 1024 * 1024,
+    val maximumHeldBytes: Long = 8L * 1024 * 1024,
+)
 
 /**
  * Bounds of what one gateway holds.
