--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PromptLoadTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PromptLoadTest.kt
@@ -14,13 +14,13 @@
         assertTrue(punctual(held, 1) >= punctual(sent, 1), figures)
     }
 
-    private fun stalled(streams: List<PromptLoad.Stream>) =
+    private fun stalled(streams: List<SimulatedStream>) =
         streams.count { it.longestPause > PromptLoad.PAUSE_MILLISECONDS }
 
-    private fun punctual(streams: List<PromptLoad.Stream>, rank: Int) =
-        streams.filter { it.request.rank == rank }.map { if (it.isPunctual) 1.0 else 0.0 }.average()
+    private fun punctual(streams: List<SimulatedStream>, rank: Int) =
+        streams.filter { it.request.rank == rank }.map { if (PromptLoad.isPunctual(it)) 1.0 else 0.0 }.average()
 
-    private fun figures(streams: List<PromptLoad.Stream>) =
+    private fun figures(streams: List<SimulatedStream>) =
         "${stalled(streams)} of ${streams.size} stalled, punctual ${punctual(streams, 0)}, ${punctual(streams, 1)}"
 
     private companion object {
