Reset the connection of a request that is given up

Cause: a request that was given up had its connection closed in order, so that whatever was still in the sender's buffer went on to the endpoint: behind a slow reader or a lost packet it arrives, and runs, after the caller has left. Ruled out: requests in the queue and connections that were being opened (both are checked before the send). Change: giving up an attempt resets its connection, which drops what has not arrived. HeldBytes keeps its sum to itself.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/HeldBytes.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/HeldBytes.kt
@@ -6,9 +6,7 @@
  * @property maximum bytes that may be held
  */
 class HeldBytes(private val maximum: Long) {
-    /** Bytes that are held now. */
-    var present: Long = 0
-        private set
+    private var present = 0L
 
     /** Whether [bytes] more may be held. */
     fun hasRoom(bytes: Long): Boolean = present + bytes <= maximum
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -67,9 +68,10 @@
     /** Notes that an event of the present answer is whole. */
     fun noteProgress() = limit.noteProgress()
 
-    /** Gives up the present request: the endpoint sees the connection close. */
+    /** Gives up the present request: the connection is reset, and what the endpoint has not received is dropped. */
     fun abandon() {
         answer = null
+        channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
