Count only events as progress of a stream, and no silence while its caller reads slowly

Cause: a comment in a stream counted as an event, so a stalled stream that sent comments now and then was never moved. While a caller read slowly, its stream was not read, and after the stall limit a sound stream was reset and resumed elsewhere. Change: comments travel with the next event; the time in which reading is paused is no silence.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -32,6 +32,8 @@
     private var pendingPrefillTokens = plan.waiting.promptTokens
     private var prefillTokensAtStart = 0L
     private var lastEventAt = 0L
+    private var silentSince = startedAt
+    private var isReadingPaused = false
     private var stallTimer: ScheduledFuture<*>? = null
     private var bufferedBody: ByteBuf = Unpooled.EMPTY_BUFFER
     private var bufferedBytes = 0L
@@ -99,11 +101,17 @@
         connection?.reset()
     }
 
+    /** Stops reading, because the caller reads too slowly. The endpoint is not considered silent meanwhile. */
     fun pauseReading() {
+        isReadingPaused = true
         connection?.channel?.config()?.isAutoRead = false
     }
 
     fun resumeReading() {
+        if (isReadingPaused) {
+            isReadingPaused = false
+            silentSince = context.clock.monotonicMilliseconds()
+        }
         connection?.channel?.config()?.isAutoRead = true
     }
 
@@ -157,8 +165,10 @@
             endpoint.recordFirstEvent(prefillTokensAtStart, now - startedAt)
         }
         pendingPrefillTokens = 0
-        if (lastEventAt != 0L) endpoint.recordPace((now - lastEventAt).toDouble())
+        val isUninterrupted = lastEventAt != 0L && silentSince == lastEventAt
+        if (isUninterrupted) endpoint.recordPace((now - lastEventAt).toDouble())
         lastEventAt = now
+        silentSince = now
         events++
         if (request.onEvent(event, checkNotNull(response))) connection?.noteProgress()
     }
@@ -212,7 +222,7 @@
         val now = context.clock.monotonicMilliseconds()
         val pause = maxOf(MINIMUM_STALL_MILLISECONDS, (plan.route.maximumPauseMilliseconds ?: 0) * STALL_PAUSE_MULTIPLE)
         val limit = if (lastEventAt == 0L) firstResponseLimit() else pause
-        val silence = now - if (lastEventAt == 0L) startedAt else lastEventAt
+        val silence = if (isReadingPaused) 0 else now - silentSince
         if (silence < limit) {
             scheduleStallCheck(limit - silence)
             return
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
@@ -7,6 +7,8 @@
 /**
  * Splits the bytes of an event stream (`text/event-stream`) into complete events, so that an interrupted stream ends
  * after a complete event and can be resumed.
+ *
+ * Comments are passed on with the next event, so that a stream that sends only comments makes no progress.
  */
 class EventSplitter {
     private var remainder: ByteBuf = Unpooled.EMPTY_BUFFER
@@ -41,12 +43,14 @@
     private fun endOfEvent(bytes: ByteBuf): Int {
         val start = bytes.readerIndex()
         var lineStart = start
+        var hasField = false
         while (lineStart < bytes.writerIndex()) {
             val lineEnd = bytes.indexOf(lineStart, bytes.writerIndex(), LINE_FEED)
             if (lineEnd < 0) return -1
             val lineLength = lineEnd - lineStart
             val isBlank = lineLength == 0 || (lineLength == 1 && bytes.getByte(lineStart) == CARRIAGE_RETURN)
-            if (isBlank && lineStart > start) return lineEnd + 1 - start
+            if (isBlank && hasField) return lineEnd + 1 - start
+            if (!isBlank && bytes.getByte(lineStart) != COLON) hasField = true
             lineStart = lineEnd + 1
         }
         return -1
@@ -58,6 +62,7 @@
     private companion object {
         const val LINE_FEED: Byte = 10
         const val CARRIAGE_RETURN: Byte = 13
+        const val COLON: Byte = 58
         const val ID_FIELD_LENGTH = 3
     }
 }
