Do not take a late copy of a rejection for the answer to a request that is sent again

Cause: a rejected request could go to the same endpoint again on the same connection, with the same id. A late second copy of the rejection then counted as the answer: the request ran and its caller was told that it had not. The statuses 408, 429 and 503 of an endpoint were passed on as "not run" also without its mark that says so. Change: a request goes to an endpoint a second time on a new connection only; an unmarked status of these is a failure, 502.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -42,15 +42,15 @@
     /**
      * Passes [use] an idle or new connection to [address], or the reason why none could be opened.
      *
-     * @param maximumIdleMilliseconds time for which a reused connection may have been idle
+     * @param maximumIdleMilliseconds time for which a reused connection may have been idle, or null to open a new one
      */
     fun connect(
         address: String,
-        maximumIdleMilliseconds: Long,
+        maximumIdleMilliseconds: Long?,
         use: (Either<EndpointUnreachable, EndpointConnection>) -> Unit,
     ) {
         val idle = idleByAddress.getOrPut(address) { IdleConnections(clock) }
-        val reused = idle.take(maximumIdleMilliseconds)
+        val reused = maximumIdleMilliseconds?.let(idle::take)
         if (reused != null) return use(reused.right())
         bootstrap.connect(SocketAddresses.parse(address)).addListener { future ->
             val channelFuture = future as ChannelFuture
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -120,6 +120,9 @@
 
     internal fun onResponse(endpoint: EndpointState, response: HttpResponse, body: ByteBuf) {
         val status = response.status().code()
+        if (status in NOT_RUN_STATUSES) {
+            return onFailed(endpoint, "status $status without a statement that it was not run")
+        }
         if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
             return onFailed(endpoint, "status $status") { completion.respond(response, body) }
         }
@@ -204,5 +207,12 @@
 
         /** Approximate time in which a full pool frees capacity. */
         const val RETRY_AFTER_MILLISECONDS = 200L
+
+        /** Statuses that tell a caller that its request was not run; an endpoint must mark a response that means it. */
+        val NOT_RUN_STATUSES = setOf(
+            HttpResponseStatus.REQUEST_TIMEOUT.code(),
+            HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+            HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+        )
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -42,9 +42,7 @@
     fun start(lastEventId: Long?, isRetry: Boolean) {
         endpoint.recordSent(pendingPrefillTokens)
         prefillTokensAtStart = endpoint.prefillTokens
-        val isAtMostOnce = plan.route.dispatchRule == DispatchRule.AT_MOST_ONCE
-        val maximumIdle = if (isAtMostOnce) MAXIMUM_IDLE_AT_MOST_ONCE_MILLISECONDS else MAXIMUM_IDLE_MILLISECONDS
-        context.connector.connect(endpoint.listed.address, maximumIdle) { connected ->
+        context.connector.connect(endpoint.listed.address, maximumIdleMilliseconds()) { connected ->
             when (connected) {
                 is Either.Left -> onUnreachable(connected.value)
                 is Either.Right -> send(connected.value, lastEventId, isRetry)
@@ -52,6 +50,16 @@
         }
     }
 
+    /**
+     * Longest idle time of a connection to reuse, or null if the request was sent to the endpoint before: a late second
+     * copy of the earlier response has the id of this request, so it must not arrive on the same connection.
+     */
+    private fun maximumIdleMilliseconds(): Long? = when {
+        endpoint.listed.id in plan.waiting.avoidedEndpoints -> null
+        plan.route.dispatchRule == DispatchRule.AT_MOST_ONCE -> MAXIMUM_IDLE_AT_MOST_ONCE_MILLISECONDS
+        else -> MAXIMUM_IDLE_MILLISECONDS
+    }
+
     private fun onUnreachable(error: EndpointUnreachable) {
         if (isEnded) return
         finish()
