Let a connection that was just accepted send its first request during a planned stop

Cause: a planned stop closed each connection without a request, also those accepted a moment before, and at most 16 connections of the backlog were accepted in one turn before the listener closed. Change: a new connection has a second for its first request; one turn accepts the whole backlog.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -34,20 +34,26 @@
     private var body: ByteBuf = Unpooled.EMPTY_BUFFER
     private var activeReply: Reply? = null
     private var isClosing = false
+    private var hasReadRequest = false
     private var idleSince = clock.monotonicMilliseconds()
 
     override fun handlerAdded(handlerContext: ChannelHandlerContext) {
         context = handlerContext
     }
 
-    /** Closes the connection if it has been idle for too long, or at once if [isStopping] and no request has begun. */
+    /**
+     * Closes the connection if it has been idle for too long. If [isStopping], closes it at once if it is idle between
+     * requests; a new connection gets some time for its first request.
+     */
     fun closeIfIdle(isStopping: Boolean) {
         if (activeReply != null) return
         val limits = acceptor.limits
         val limit = if (head != null) limits.headerTimeoutMilliseconds else limits.idleTimeoutMilliseconds
-        val isExpired = clock.monotonicMilliseconds() - idleSince > limit
+        val idle = clock.monotonicMilliseconds() - idleSince
+        val isExpired = idle > limit
         if (head != null && isExpired) return refuse(HttpResponseStatus.REQUEST_TIMEOUT)
-        if (isExpired || (isStopping && head == null)) context.close()
+        val isUnused = head == null && (hasReadRequest || idle > FIRST_REQUEST_MILLISECONDS)
+        if (isExpired || (isStopping && isUnused)) context.close()
     }
 
     override fun channelRead(handlerContext: ChannelHandlerContext, message: Any) {
@@ -80,6 +86,7 @@
         val contentLength = HttpUtil.getContentLength(request, 0L)
         if (contentLength > acceptor.limits.maximumBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         head = request
+        hasReadRequest = true
         headReceivedAt = clock.monotonicMilliseconds()
         idleSince = headReceivedAt
         body = if (contentLength > 0) context.alloc().buffer(contentLength.toInt()) else context.alloc().buffer(0)
@@ -231,6 +238,9 @@
     }
 
     private companion object {
+        /** Time within which a caller sends its first request on a new connection. */
+        const val FIRST_REQUEST_MILLISECONDS = 1_000L
+
         /** Number of queued messages of pipelined requests at which reading pauses. */
         const val MAXIMUM_POSTPONED_MESSAGES = 32
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpServerCodec
@@ -27,6 +28,7 @@
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) = initialize(channel)
@@ -40,7 +42,10 @@
         )
     }
 
-    /** Stops accepting connections. */
+    /**
+     * Stops accepting connections. Those that wait in the backlog are accepted before, since one turn of the event loop
+     * accepts all of them; otherwise the system would reset them.
+     */
     fun stopListening() {
         listener?.close()
     }
@@ -57,7 +62,7 @@
         connections.toList().forEach { it.closeIfIdle(isStopping = false) }
     }
 
-    /** Closes the connections without a request. */
+    /** Closes the connections without a request, but not those on which the first request may be on its way. */
     fun closeIdle() {
         connections.toList().forEach { it.closeIfIdle(isStopping = true) }
     }
