Check deadline and key again when a waiting request is sent

Cause: a request that waited while the process was paused was sent when the process went on, before its timers: an order after its deadline, or a request whose key had been withdrawn meanwhile.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler
 import org.guavahatch.gateway.caller.CallerServer
 import org.guavahatch.gateway.control.Admission
+import org.guavahatch.gateway.control.ConfiguredKeys
 import org.guavahatch.gateway.control.ControlResponse
 import org.guavahatch.gateway.control.ControlServer
 import org.guavahatch.gateway.control.GatewayState
@@ -46,7 +47,17 @@
 
     private val bufferedResponses = ByteBudget(settings.endpoints.maximumHeldBytes)
     private val context =
-        RequestContext(loop, clock, headers, connector, state.ledger, bufferedResponses, log, metrics)
+        RequestContext(
+            loop,
+            clock,
+            headers,
+            connector,
+            state.ledger,
+            ConfiguredKeys(state, headers.key),
+            bufferedResponses,
+            log,
+            metrics,
+        )
     private val admission = Admission(state, context, settings.requests, random)
     private val callers = CallerServer(group, admission, clock)
     private var stopSignal = CountDownLatch(1)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -33,6 +33,15 @@
     /** Whether its response has begun, so that another endpoint can only resume the stream. */
     val isContinuation: Boolean get() = history.hasAnswerBegun
 
+    /** Whether the key of the request was withdrawn while it waited. */
+    val isKeyWithdrawn: Boolean get() = !isContinuation && context.keys.isWithdrawn(plan)
+
+    /**
+     * Whether the request may be sent at [now]: its deadline may have passed or its key may have been withdrawn while
+     * the process was paused.
+     */
+    fun maySendAt(now: Long): Boolean = now < plan.waiting.deadline && (isContinuation || context.keys.isAccepted(plan))
+
     /** Sends the request to [endpoint]. */
     fun dispatch(endpoint: EndpointState) {
         val newAttempt = Attempt(this, endpoint, plan, context)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -172,6 +172,7 @@
         if (queue.size == 0 || free == 0) return false
         // Free slots are left to requests of higher rank that wait at other gateways.
         val (request, endpoint) = queue.candidates(now)
+            .filter { activeRequests[it.sequence]?.maySendAt(now) == true }
             .takeWhile { peers.waitingWithHigherPriority(name, it.order) < free }
             .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
             ?: return false
@@ -185,6 +186,9 @@
         activeRequests.remove(request.sequence)?.dispatch(endpoint)
     }
 
+    private fun refuseWithdrawnKeys() = activeRequests.values.filter { it.isKeyWithdrawn }
+        .forEach { it.refuse("key-withdrawn", MINIMUM_RETRY_AFTER_MILLISECONDS) }
+
     /** Refuses the requests that, with the queue as it is, would not be sent in time. */
     private fun shedLateRequests() {
         val now = clock.monotonicMilliseconds()
@@ -212,6 +216,7 @@
         loop.schedule(
             {
                 isRecheckScheduled = false
+                refuseWithdrawnKeys()
                 onPeerReports()
                 shedLateRequests()
             },
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -17,6 +17,7 @@
  * @property headers header names of the deployment
  * @property connector opens and pools connections to endpoints
  * @property ledger quota use of client accounts
+ * @property keys keys that may be used now
  * @property bufferedResponses budget for the bytes of incomplete responses
  * @property log decision log
  * @property metrics counters and histograms
@@ -27,6 +28,7 @@
     val headers: GatewayHeaders,
     val connector: EndpointConnector,
     val ledger: AccountLedger,
+    val keys: AcceptedKeys,
     val bufferedResponses: ByteBudget,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
