Keep slots free for the higher ranks that arrive until the next reports

Cause: gateways learn of each other's requests every 4 ms a peer (128 ms at 33). Change: a rank uses a free slot only beyond those that higher ranks need in other gateways and probably need until the next reports (their recent rate here times the gateways, an eighth of the pool at most); slots are divided again when a higher rank arrives.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -9,6 +9,7 @@
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.QueueForecast
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.SlotShares
@@ -30,12 +31,14 @@
 ) {
     private val queue = WaitingQueue()
     private val forecast = QueueForecast()
+    private val reserve = PriorityReserve(name, peers, clock)
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
     private var isDispatching = false
     private var isRecheckScheduled = false
     private var reportsAppliedAt = 0L
     private var slotsDividedAt = 0L
+    private var slotsDividedFor = Int.MAX_VALUE
 
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
@@ -68,6 +71,7 @@
     fun submit(active: ActiveRequest) {
         openRequests++
         allowance.recordRequest()
+        reserve.recordArrival(active.plan.waiting.order)
         enqueue(active)
     }
 
@@ -75,6 +79,8 @@
     fun enqueue(active: ActiveRequest) {
         activeRequests[active.plan.waiting.sequence] = active
         queue.add(active.plan.waiting)
+        // Fewer gateways compete for the slots with a request of higher priority than with those that waited before.
+        if (active.plan.waiting.order < slotsDividedFor) divideAllSlots(clock.monotonicMilliseconds())
         dispatchWaiting()
     }
 
@@ -118,6 +124,12 @@
     private fun divideSlots(states: Collection<EndpointState>, now: Long) =
         shares.divide(states, competingGateways(), peers.silentCount.toDouble() / peers.gatewayCount, now)
 
+    private fun divideAllSlots(now: Long) {
+        divideSlots(endpoints.values, now)
+        slotsDividedAt = now
+        slotsDividedFor = queue.highestPriority?.order ?: Int.MAX_VALUE
+    }
+
     private fun competingGateways() = peers.gatewaysWithWaiting(name, queue.highestPriority?.order ?: Int.MAX_VALUE)
 
     /** Removes endpoint [id]; no further request is sent to it. */
@@ -135,8 +147,7 @@
             reportsAppliedAt = now
         }
         if (now - slotsDividedAt >= peers.reportIntervalMilliseconds) {
-            divideSlots(endpoints.values, now)
-            slotsDividedAt = now
+            divideAllSlots(now)
         }
         dispatchWaiting()
     }
@@ -170,10 +181,9 @@
         val now = clock.monotonicMilliseconds()
         val free = endpoints.values.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
-        // Free slots are left to requests of higher rank that wait at other gateways.
         val (request, endpoint) = queue.candidates(now)
             .filter { activeRequests[it.sequence]?.maySendAt(now) == true }
-            .takeWhile { peers.waitingWithHigherPriority(name, it.order) < free }
+            .takeWhile { reserve.mayUse(free, slots, it.order) }
             .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
             ?: return false
         send(request, endpoint, now)
