Send echoes on request and changed accounts only in datagrams between gateways

Cause: every 200 ms each gateway told each other one all accounts (use and levels) and an echo for every peer: at 33 gateways some 1,100 of 1,400 bytes, three quarters of the bytes between zones. Change: echoes go to peers whose configuration was not confirmed for 70% of the time that keys are accepted; accounts whose use has changed since the last complete report go every 200 ms, all of them every second, after a start and to a new peer. Older gateways ignore the new fields, get complete reports every second, and are always echoed. PeerRelayTest, PeerTableTest pass.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -40,6 +40,7 @@
     private val firstSequence = random.nextLong(FIRST_SEQUENCE_BOUND)
     private var reportSequence = firstSequence
     private var listeners = emptyList<() -> Unit>()
+    private var completelyReportedUse = emptyMap<String, Long>()
 
     /** Name of this gateway. */
     val name: String get() = settings.name
@@ -163,15 +164,20 @@
         val isFirst = peers.freshReports().none { it.name == report.name }
         val used = peers.processReport(report) ?: return
         val levels = report.accounts?.levels
-        val isRecentlyStarted = reportSequence - firstSequence < LEVEL_ADOPTION_REPORTS
         if (isFirst && levels != null && isRecentlyStarted) ledger.raiseLevels(levels)
         used.forEach { (account, units) -> ledger.recordPeerUse(account, units) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
         pools.values.forEach { it.onPeerReports() }
     }
 
-    /** The next report to the peers, with the use of accounts if [includeAccounts]. */
-    fun report(includeAccounts: Boolean): PeerReport {
+    /** Whether this gateway still learns the use of accounts before its start. */
+    val isRecentlyStarted: Boolean get() = reportSequence - firstSequence < LEVEL_ADOPTION_REPORTS
+
+    /** The next report to the peers, with the use of accounts as [detail] says. */
+    fun report(detail: ReportDetail): PeerReport {
+        val use = ledger.ownUse
+        val changedUse = use.filter { (account, units) -> units != completelyReportedUse[account] }
+        if (detail == ReportDetail.COMPLETE) completelyReportedUse = use
         val load = HashMap<String, EndpointLoad>()
         pools.values.forEach { it.collectLoad(load) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
@@ -181,8 +187,9 @@
             sequence = ++reportSequence,
             load = load,
             configurationVersion = configuration?.version ?: 0,
-            accounts = if (includeAccounts) AccountReport(ledger.levels, ledger.ownUse) else null,
+            accounts = if (detail == ReportDetail.COMPLETE) AccountReport(ledger.levels, use) else null,
             waiting = pools.values.mapNotNull { pool -> pool.highestRankWaiting?.let { pool.name to it } }.toMap(),
+            changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -4,19 +4,24 @@
 import kotlinx.serialization.cbor.CborLabel
 
 /**
- * Datagram between gateways, in CBOR with numbered fields. Echoes and accounts make up most of it and are sent less
- * often than the load.
+ * Datagram between gateways, in CBOR with numbered fields. All accounts together make up most of it and are sent less
+ * often than the load and the accounts that have changed. Unknown fields are ignored and missing ones have defaults, so
+ * gateways of different versions understand each other.
  *
  * @property name name of the sender
  * @property incarnation incarnation of the sender
  * @property sequence number of the datagram, rising within an incarnation from a random first number
- * @property echoes highest sequence received from each peer, or null if left out; all peers get the same datagram
+ * @property echoes highest sequence received from each peer that wants it, or null if left out; all peers get the same
+ * datagram
  * @property configurationVersion version of the configuration in force at the sender
  * @property configurationAge milliseconds since that version was confirmed as the newest, or -1
  * @property load the sender's requests and their prompt tokens that are not prefilled yet, by endpoint
  * @property accountUse units admitted since the sender's start, by account, or null if left out
  * @property accountLevels units left, by account, or null if left out
  * @property waiting order of the highest rank that waits, and the number of its requests, by pool
+ * @property wantsEcho whether the sender needs echoes to confirm its configuration; senders of earlier versions, which
+ * leave it out, always do
+ * @property changedUse [accountUse] of the accounts that have changed since the last datagram with [accountUse]
  */
 @Serializable
 internal class PeerDatagram(
@@ -30,4 +35,6 @@
     @CborLabel(8) val accountUse: Map<String, Long>?,
     @CborLabel(9) val accountLevels: Map<String, Long>?,
     @CborLabel(10) val waiting: Map<String, List<Int>>,
+    @CborLabel(11) val wantsEcho: Boolean = true,
+    @CborLabel(12) val changedUse: Map<String, Long> = emptyMap(),
 )
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -15,6 +15,7 @@
 import kotlinx.serialization.encodeToByteArray
 import org.guavahatch.gateway.SocketAddresses
 import org.guavahatch.gateway.control.GatewayState
+import org.guavahatch.gateway.control.ReportDetail
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
@@ -47,7 +48,9 @@
     private var channel: Channel? = null
     private var isSendScheduled = false
     private var lastSentAt = 0L
-    private var lastFullReportAt = 0L
+    private var lastAccountsAt = 0L
+    private var lastCompleteAt = 0L
+    private var hasNewPeer = false
 
     /** Binds [address] and starts the exchange. */
     fun start(address: String) {
@@ -74,28 +77,49 @@
         isSendScheduled = false
         if (state.gateways.isEmpty()) return
         lastSentAt = clock.monotonicMilliseconds()
-        val isFullReport = lastSentAt - lastFullReportAt >= FULL_REPORT_INTERVAL_MILLISECONDS
-        if (isFullReport) lastFullReportAt = lastSentAt
-        val report = state.report(includeAccounts = isFullReport)
+        val detail = nextDetail()
+        val report = state.report(detail)
         sentAt[report.sequence] = SendTime(lastSentAt, state.clockGaps)
         while (sentAt.size > MAXIMUM_SEND_TIMES) sentAt.remove(sentAt.keys.first())
-        val bytes = cbor.encodeToByteArray(datagramOf(report))
+        val bytes = cbor.encodeToByteArray(datagramOf(report, includeEchoes = detail != ReportDetail.LOAD))
         state.gateways.values.forEach { address ->
             channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), SocketAddresses.parse(address)))
         }
     }
 
-    private fun datagramOf(report: PeerReport) = PeerDatagram(
+    /** All accounts go to a peer that has just started, and otherwise rarely. */
+    private fun nextDetail(): ReportDetail {
+        val sinceAccounts = lastSentAt - lastAccountsAt
+        if (sinceAccounts < CHANGES_INTERVAL_MILLISECONDS) return ReportDetail.LOAD
+        lastAccountsAt = lastSentAt
+        val isComplete = hasNewPeer ||
+            state.isRecentlyStarted ||
+            lastSentAt - lastCompleteAt >= COMPLETE_INTERVAL_MILLISECONDS
+        if (!isComplete) return ReportDetail.CHANGES
+        hasNewPeer = false
+        lastCompleteAt = lastSentAt
+        return ReportDetail.COMPLETE
+    }
+
+    private fun echoes(): Map<String, Long>? = lastReceived.filter { (name, last) ->
+        last.wantsEcho &&
+            name in state.gateways
+    }
+        .mapValues { it.value.sequence }.ifEmpty { null }
+
+    private fun datagramOf(report: PeerReport, includeEchoes: Boolean) = PeerDatagram(
         report.name,
         report.incarnation,
         report.sequence,
-        report.accounts?.let { lastReceived.filterKeys { it in state.gateways }.mapValues { it.value.sequence } },
+        if (includeEchoes) echoes() else null,
         report.configurationVersion,
         state.freshness.ageMilliseconds() ?: -1,
         report.load.mapValues { (_, load) -> listOf(load.requests.toLong(), load.prefillTokens) },
         report.accounts?.use,
         report.accounts?.levels,
         report.waiting.mapValues { (_, waiting) -> listOf(waiting.order, waiting.requests) },
+        state.freshness.needsConfirmation(),
+        report.changedUse,
     )
 
     private fun read(packet: DatagramPacket) {
@@ -112,12 +136,13 @@
         val last = lastReceived[datagram.name]
         if (last?.incarnation == datagram.incarnation && last.sequence >= datagram.sequence) return
         if (last?.incarnation != datagram.incarnation) {
+            hasNewPeer = true
             log.write("peer.heard") {
                 put("peer", datagram.name)
                 put("incarnation", datagram.incarnation)
             }
         }
-        lastReceived[datagram.name] = ReceivedReport(datagram.incarnation, datagram.sequence)
+        lastReceived[datagram.name] = ReceivedReport(datagram.incarnation, datagram.sequence, datagram.wantsEcho)
         state.onPeerReport(reportOf(datagram))
         confirmConfiguration(datagram)
     }
@@ -142,13 +167,14 @@
         configurationVersion = datagram.configurationVersion,
         accounts = accountsOf(datagram),
         waiting = datagram.waiting.mapValues { (_, waiting) -> WaitingReport(waiting[0], waiting[1]) },
+        changedUse = datagram.changedUse,
     )
 
     private fun accountsOf(datagram: PeerDatagram): AccountReport? {
         return AccountReport(datagram.accountLevels ?: return null, datagram.accountUse ?: return null)
     }
 
-    private class ReceivedReport(val incarnation: String, val sequence: Long)
+    private class ReceivedReport(val incarnation: String, val sequence: Long, val wantsEcho: Boolean)
 
     private class SendTime(val at: Long, val clockGaps: Int)
 
@@ -156,8 +182,11 @@
         /** Interval of reports without a change of load; short enough to notice a silent peer within a second. */
         const val HEARTBEAT_MILLISECONDS = 250L
 
-        /** Shortest interval of full reports; a little below the heartbeat, so that each heartbeat is a full report. */
-        const val FULL_REPORT_INTERVAL_MILLISECONDS = 200L
+        /** Shortest interval of reports with changed accounts; a little below the heartbeat, so that each has them. */
+        const val CHANGES_INTERVAL_MILLISECONDS = 200L
+
+        /** Interval of reports with all accounts, after which a lost datagram with changes is made up for. */
+        const val COMPLETE_INTERVAL_MILLISECONDS = 1_000L
 
         const val MAXIMUM_SEND_TIMES = 128
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/ConfigurationFreshness.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/ConfigurationFreshness.kt
@@ -49,6 +49,10 @@
     /** Whether requests with keys may be served. */
     public fun allowsKeyedRequests(): Boolean = (ageMilliseconds() ?: Long.MAX_VALUE) <= maximumKeyAgeMilliseconds
 
+    /** Whether the newest confirmation is so old that peers should be asked for theirs. */
+    public fun needsConfirmation(): Boolean =
+        (ageMilliseconds() ?: Long.MAX_VALUE) > maximumKeyAgeMilliseconds * CONFIRMATION_PERCENT / PERCENT
+
     /** Whether a request whose route or key is not in the configuration may be refused as unknown. */
     public fun allowsNegativeAnswers(): Boolean =
         (ageMilliseconds() ?: Long.MAX_VALUE) <= maximumNegativeAnswerAgeMilliseconds
@@ -65,5 +69,9 @@
     private companion object {
         /** Clock slewing between two readings stays far below this; relevant suspensions last at least about 1 s. */
         const val MAXIMUM_DRIFT_MILLISECONDS = 200L
+
+        /** Part of the maximum age after which peers are asked; the rest is for the exchange with them. */
+        const val CONFIRMATION_PERCENT = 70
+        const val PERCENT = 100
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -44,7 +44,8 @@
         val previous = received[message.name]
         val isSameIncarnation = previous != null && previous.report.incarnation == message.incarnation
         if (isSameIncarnation && previous!!.report.sequence >= message.sequence) return null
-        val accounts = message.accounts ?: previous?.report?.accounts?.takeIf { isSameIncarnation } ?: return null
+        val known = previous?.report?.accounts?.takeIf { isSameIncarnation }
+        val accounts = message.accounts ?: known?.withUse(message.changedUse) ?: return null
         received[message.name] = ReceivedReport(message.copy(accounts = accounts), clock.monotonicMilliseconds())
         if (!isSameIncarnation) return if (previous == null) emptyMap() else accounts.use
         return accounts.use.mapValues { (account, units) ->
@@ -95,8 +96,9 @@
  * @property sequence number of the message, increasing within an incarnation
  * @property load the gateway's requests at endpoints, by endpoint
  * @property configurationVersion version of the configuration in force at the gateway
- * @property accounts use of client accounts, or null if the message does not include it
+ * @property accounts use of all client accounts, or null if the message does not include it
  * @property waiting waiting requests of the highest priority, by pool
+ * @property changedUse [AccountReport.use] of the accounts whose use has changed since the last message with [accounts]
  */
 public data class PeerReport(
     public val name: String,
@@ -106,6 +108,7 @@
     public val configurationVersion: Long,
     public val accounts: AccountReport?,
     public val waiting: Map<String, WaitingReport>,
+    public val changedUse: Map<String, Long> = emptyMap(),
 )
 
 /**
@@ -114,7 +117,11 @@
  * @property levels remaining units by account, as the gateway estimates them
  * @property use units by account that the gateway has admitted since its start
  */
-public data class AccountReport(public val levels: Map<String, Long>, public val use: Map<String, Long>)
+public data class AccountReport(public val levels: Map<String, Long>, public val use: Map<String, Long>) {
+    /** This report with the newer use of some accounts. */
+    internal fun withUse(changedUse: Map<String, Long>): AccountReport =
+        if (changedUse.isEmpty()) this else copy(use = use + changedUse)
+}
 
 /**
  * Waiting requests of one gateway.
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PeerTableTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PeerTableTest.kt
@@ -23,6 +23,21 @@
             listOf(report(1, null), report(2, 100), report(3, 120)),
             listOf(null, emptyMap(), use(20)),
         ),
+        Case(
+            "changed use replaces that of the last complete message",
+            listOf(report(1, 100), report(2, null, changed = 130), report(3, null), report(4, null, changed = 135)),
+            listOf(emptyMap(), use(30), use(0), use(5)),
+        ),
+        Case(
+            "a lost message with changed use is made up for by the next complete one",
+            listOf(report(1, 100), report(3, null, changed = 130), report(5, 160)),
+            listOf(emptyMap(), use(30), use(30)),
+        ),
+        Case(
+            "changed use before a complete message of the same incarnation is not counted",
+            listOf(report(5, 100), report(1, null, incarnation = "b", changed = 30), report(2, 40, incarnation = "b")),
+            listOf(emptyMap(), null, use(40)),
+        ),
         Case("older messages are dropped", listOf(report(2, 100), report(1, 90)), listOf(emptyMap(), null)),
         Case(
             "all use that a restarted peer reports is counted",
@@ -82,6 +97,7 @@
         incarnation: String = "a",
         name: String = "gateway-2",
         waiting: WaitingReport? = null,
+        changed: Long? = null,
     ) = PeerReport(
         name = name,
         incarnation = incarnation,
@@ -90,6 +106,7 @@
         configurationVersion = 1,
         accounts = used?.let { AccountReport(levels = use(0), use = use(it)) },
         waiting = waiting?.let { mapOf("pool" to it) }.orEmpty(),
+        changedUse = changed?.let(::use).orEmpty(),
     )
 
     private object StoppedClock : Clock {
