Order waiting requests by the latest time at which they can still be on time

Cause: a request counted as on time until 100 ms before its objective, but the first event comes 174 ms after the send at the median and 370 ms at p90 at the crest. Change: gateways learn the time from send to first event by prompt length; the queue orders a rank by the latest useful send.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -17,6 +17,7 @@
 import org.guavahatch.gateway.caller.RequestAcceptor
 import org.guavahatch.gateway.request.ActiveRequest
 import org.guavahatch.gateway.request.GatewayResponses
+import org.guavahatch.gateway.request.PoolDispatcher
 import org.guavahatch.gateway.request.RequestContext
 import org.guavahatch.gateway.request.RequestPlan
 import org.guavahatch.gateway.request.putTokens
@@ -143,7 +144,7 @@
             pool,
             account,
             units,
-            waitingRequest(request, route, account, tokens),
+            waitingRequest(request, route, state.pool(pool), account, tokens),
             configuration.version,
         )
     }
@@ -201,11 +202,13 @@
     private fun waitingRequest(
         request: CallerRequest,
         route: ForwardingRoute,
+        pool: PoolDispatcher,
         account: ForwardingAccount?,
         tokens: TokenCount?,
     ): WaitingRequest {
         val budget = request.headers.get(headers.timeBudget)?.trim()?.toDoubleOrNull()?.toLong()
         val limit = minOf(budget ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
+        val promptTokens = tokens?.prompt ?: 0
         return WaitingRequest(
             sequence = sequence++,
             rank = account?.rank ?: route.rank,
@@ -214,10 +217,11 @@
             objectiveEndsAt = request.receivedAt + route.targetLatencyMilliseconds,
             deadline = request.receivedAt + limit,
             patienceEndsAt = request.receivedAt + minOf(limit, patienceMilliseconds(route)),
-            promptTokens = tokens?.prompt ?: 0,
+            promptTokens = promptTokens,
             outputTokens = tokens?.output ?: 0,
             estimatedTokens = tokens?.estimated,
             longestPauseMilliseconds = route.maximumPauseMilliseconds,
+            firstEventMilliseconds = pool.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -106,6 +106,10 @@
         }
     }
 
+    /** The first event of an attempt arrived [milliseconds] after it started. */
+    internal fun onFirstEvent(milliseconds: Long) =
+        dispatcher.firstEvents.record(plan.waiting.promptTokens, milliseconds)
+
     /** Forwards [event] to the caller; false if the caller already has it. */
     internal fun onEvent(event: StreamEvent, response: HttpResponse): Boolean {
         if (!history.recordEvent(event.id)) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -171,6 +171,7 @@
         if (pendingPrefillTokens > 0) {
             endpoint.recordPrefilled(pendingPrefillTokens)
             endpoint.recordFirstEvent(prefillTokensAtStart, now - startedAt)
+            request.onFirstEvent(now - startedAt)
         }
         pendingPrefillTokens = 0
         val isUninterrupted = lastEventAt != 0L && silentSince == lastEventAt
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -8,6 +8,7 @@
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.FirstEventForecast
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.QueueForecast
@@ -40,6 +41,9 @@
     private var slotsDividedAt = 0L
     private var slotsDividedFor = Int.MAX_VALUE
 
+    /** Expected time from the send of a request to its first event. */
+    val firstEvents: FirstEventForecast = FirstEventForecast()
+
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
@@ -68,7 +68,8 @@
         now: Long,
     ): Boolean {
         val longestPauseMilliseconds = request.longestPauseMilliseconds ?: return true
-        if (now >= request.objectiveEndsAt - FIRST_EVENT_MILLISECONDS) return true
+        val firstEventMilliseconds = maxOf(FIRST_EVENT_MILLISECONDS, request.firstEventMilliseconds)
+        if (now >= request.objectiveEndsAt - firstEventMilliseconds) return true
         val prefillTokens = endpoint.prefillTokens + request.promptTokens
         val prefillMilliseconds = prefillTokens * speeds.millisecondsPerToken(endpoint)
         if (prefillMilliseconds <= longestPauseMilliseconds * PREFILL_PAUSE_SHARE) return true
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
@@ -17,7 +17,7 @@
             { it.rank },
             { it.routeRank },
             { !it.hasAnswerBegun },
-            { it.objectiveEndsAt },
+            { it.latestSendAt },
             { it.sequence },
         ),
     )
@@ -35,7 +35,7 @@
     public fun next(now: Long): WaitingRequest? {
         val oldest = requests.firstOrNull() ?: return null
         if (oldest.hasAnswerBegun) return oldest
-        val onTime = requests.ceiling(oldest.copy(objectiveEndsAt = now + FIRST_EVENT_MILLISECONDS, sequence = 0))
+        val onTime = requests.ceiling(oldest.firstOnTimeAt(now))
         return onTime?.takeIf { hasSameRank(it, oldest) } ?: oldest
     }
 
@@ -50,8 +50,8 @@
 
     /** The first few requests of the rank whose first entry is [head], in the order of dispatch at [now]. */
     private fun firstOfRank(head: WaitingRequest, now: Long): List<WaitingRequest> {
-        val firstOnTime = head.copy(objectiveEndsAt = now + FIRST_EVENT_MILLISECONDS, sequence = 0)
-        val isHeadOnTime = !head.hasAnswerBegun && head.objectiveEndsAt >= firstOnTime.objectiveEndsAt
+        val firstOnTime = head.firstOnTimeAt(now)
+        val isHeadOnTime = !head.hasAnswerBegun && head.latestSendAt >= now
         val late = (if (isHeadOnTime) emptySet() else requests.subSet(head, firstOnTime)).asSequence()
         val onTime = requests.tailSet(firstOnTime, true).asSequence().takeWhile { hasSameRank(it, head) }
         val inOrder = late.takeWhile { it.hasAnswerBegun } + onTime + late.dropWhile { it.hasAnswerBegun }
@@ -61,7 +61,7 @@
     /** All waiting requests, in the order of dispatch at [now]. */
     public fun inDispatchOrder(now: Long): List<WaitingRequest> = requests.groupBy { it.rank to it.routeRank }.values
         .flatMap { group ->
-            group.partition { it.hasAnswerBegun || it.objectiveEndsAt >= now + FIRST_EVENT_MILLISECONDS }
+            group.partition { it.hasAnswerBegun || it.latestSendAt >= now }
                 .toList()
                 .flatten()
         }
@@ -78,13 +78,14 @@
         return true
     }
 
+    /** Lower bound of the requests of the same rank that can meet their objective if they are sent at [now]. */
+    private fun WaitingRequest.firstOnTimeAt(now: Long) =
+        copy(objectiveEndsAt = now + firstEventMilliseconds, sequence = 0)
+
     private fun hasSameRank(one: WaitingRequest, other: WaitingRequest) =
         one.rank == other.rank && one.routeRank == other.routeRank
 
     private companion object {
-        /** A request sent this close to its objective misses it, since connecting, prefill and one step take longer. */
-        const val FIRST_EVENT_MILLISECONDS = 100L
-
         /** Lets others of a rank pass a request that finds no endpoint; few, since each is tried at every change. */
         const val RANK_CANDIDATES = 3
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -16,6 +16,7 @@
  * @property outputTokens maximum number of tokens to generate; 0 for applications
  * @property estimatedTokens the caller's estimate of the tokens to generate, or null
  * @property longestPauseMilliseconds longest pause between events that meets the objective in milliseconds, or null
+ * @property firstEventMilliseconds expected time from the send to the first event
  */
 public data class WaitingRequest(
     public val sequence: Long,
@@ -29,7 +30,11 @@
     public val outputTokens: Long,
     public val estimatedTokens: Long? = null,
     public val longestPauseMilliseconds: Long? = null,
+    public val firstEventMilliseconds: Long = 0,
 ) {
+    /** Latest time of the send that meets the latency objective. */
+    public val latestSendAt: Long get() = objectiveEndsAt - firstEventMilliseconds
+
     /** Combined priority of [rank] and [routeRank]; requests with a lower value go first, whatever their times. */
     public val order: Int get() = rank * ROUTE_RANKS + routeRank
 
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/Requests.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/Requests.kt
@@ -12,6 +12,7 @@
     patience: Long = 2_000,
     promptTokens: Long = 1_000,
     outputTokens: Long = 50,
+    firstEvent: Long = 100,
 ) = WaitingRequest(
     sequence = sequence,
     rank = rank,
@@ -22,6 +23,7 @@
     patienceEndsAt = arrivedAt + patience,
     promptTokens = promptTokens,
     outputTokens = outputTokens,
+    firstEventMilliseconds = firstEvent,
 )
 
 /** Creates an endpoint with eight slots by default. */
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/WaitingQueueTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/WaitingQueueTest.kt
@@ -25,6 +25,18 @@
             order = listOf(1, 0),
             requests = listOf(waitingRequest(0, arrivedAt = 0), waitingRequest(1, arrivedAt = 900)),
         ),
+        Case(
+            "a request whose prompt takes longer than the rest of its objective does not take the slot of another",
+            now = 200,
+            order = listOf(1, 0),
+            requests = listOf(waitingRequest(0, firstEvent = 350), waitingRequest(1, arrivedAt = 150)),
+        ),
+        Case(
+            "of two requests with the same objective the one with the longer prompt goes first",
+            now = 100,
+            order = listOf(1, 0),
+            requests = listOf(waitingRequest(0), waitingRequest(1, firstEvent = 250)),
+        ),
         Case(
             "an interrupted stream goes before other requests of its rank",
             now = 1_000,
