Do not hold long prompts back from endpoints whose measured pauses are short

Cause: a prompt waited while its prefill, as one piece, would exceed 0.6 of the longest pause. Change: gateways measure the pauses while 4,000 tokens or more are being prefilled; an endpoint whose p90 of them takes at most 0.75 of the longest pause takes any prompt.

--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
@@ -73,6 +73,8 @@
         val prefillTokens = endpoint.prefillTokens + request.promptTokens
         val prefillMilliseconds = prefillTokens * speeds.millisecondsPerToken(endpoint)
         if (prefillMilliseconds <= longestPauseMilliseconds * PREFILL_PAUSE_SHARE) return true
+        val measuredPause = endpoint.pauseWhilePrefillingMilliseconds
+        if (measuredPause != null && measuredPause <= longestPauseMilliseconds * MEASURED_PAUSE_SHARE) return true
         // A prompt that exceeds the objective at every endpoint goes to a fast one that prefills nothing else.
         return endpoint.prefillTokens == 0L && speeds.isFast(endpoint)
     }
@@ -143,6 +145,9 @@
         /** Share of the longest pause that a prefill may take; the rest is for the decoding steps of the streams. */
         const val PREFILL_PAUSE_SHARE = 0.6
 
+        /** Share of the longest pause that measured pauses may take; the rest is for the few that are longer. */
+        const val MEASURED_PAUSE_SHARE = 0.75
+
         /** An endpoint counts as fast if it takes at most this multiple of the fastest one's time. */
         const val FAST_ENDPOINT_RATIO = 1.25
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -35,6 +35,7 @@
 
     private val pace = MovingAverage(PACE_WEIGHT)
     private val sustainedPace = MovingAverage(SUSTAINED_PACE_WEIGHT)
+    private val pauseWhilePrefilling = RecentQuantile(PAUSE_QUANTILE)
     private val tokensPerEvent = RecentQuantile(MEDIAN)
     private val prefillTimePerToken = RecentQuantile(PREFILL_QUANTILE)
     private val failureRate = MovingAverage(FAILURE_WEIGHT)
@@ -76,6 +77,12 @@
     /** Like [paceMilliseconds], averaged over several seconds; null before the first sample. */
     public val sustainedPaceMilliseconds: Double? get() = sustainedPace.value
 
+    /**
+     * High quantile of the milliseconds between stream events while the endpoint prefills long prompts; null before the
+     * first sample. Engines that prefill in chunks keep it bounded, however long the prompts are.
+     */
+    public val pauseWhilePrefillingMilliseconds: Double? get() = pauseWhilePrefilling.value
+
     /** Median of estimated tokens per event over recent completed streams; null before the first sample. */
     public val estimatedTokensPerEvent: Double? get() = tokensPerEvent.value
 
@@ -106,6 +113,7 @@
     public fun recordPace(milliseconds: Double) {
         pace.add(milliseconds)
         sustainedPace.add(milliseconds)
+        if (prefillTokens >= LONG_PREFILL_TOKENS) pauseWhilePrefilling.add(milliseconds)
     }
 
     /** Records a first event [milliseconds] after the send, with [tokens], its own included, to prefill by then. */
@@ -154,6 +162,10 @@
         /** Averages about a hundred events: several seconds at a busy endpoint, the time scale of a long answer. */
         const val SUSTAINED_PACE_WEIGHT = 0.02
         const val MEDIAN = 0.5
+        const val PAUSE_QUANTILE = 0.9
+
+        /** Prompts that take several decoding steps to prefill. */
+        const val LONG_PREFILL_TOKENS = 4_000L
 
         /** In shorter answers, a last event with fewer tokens distorts the number of tokens per event. */
         const val MINIMUM_SAMPLE_EVENTS = 5
