Count the latency objective of a repeated request from its first attempt

Cause: a request that came back after a refusal counted as new, so at the crest it took slots from requests that could still be on time, though it was late already. Change: callers state the time left to them; where most requests of a route state the same, one with less is a repeated one, and its objective lies as much earlier.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -26,6 +26,7 @@
 import org.guavahatch.model.forwarding.ForwardingAccount
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ForwardingRoute
+import org.guavahatch.scheduling.direct.RepeatedRequests
 import org.guavahatch.scheduling.direct.WaitingRequest
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -40,6 +41,7 @@
     private val headers: GatewayHeaders get() = context.headers
     private var sequence = 0L
     private val bufferedBodies = ByteBudget(settings.maximumBodyBytes)
+    private val repeated = RepeatedRequests()
 
     override var isStopping: Boolean = false
 
@@ -209,12 +211,13 @@
         val budget = request.headers.get(headers.timeBudget)?.trim()?.toDoubleOrNull()?.toLong()
         val limit = minOf(budget ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
         val promptTokens = tokens?.prompt ?: 0
+        val elapsed = budget?.let { repeated.elapsedMilliseconds(route.name, it) } ?: 0
         return WaitingRequest(
             sequence = sequence++,
             rank = account?.rank ?: route.rank,
             routeRank = route.rank,
             arrivedAt = request.receivedAt,
-            objectiveEndsAt = request.receivedAt + route.targetLatencyMilliseconds,
+            objectiveEndsAt = request.receivedAt + route.targetLatencyMilliseconds - elapsed,
             deadline = request.receivedAt + limit,
             patienceEndsAt = request.receivedAt + minOf(limit, patienceMilliseconds(route)),
             promptTokens = promptTokens,
