--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -134,8 +134,7 @@
         slotsDividedFor = queue.highestPriority?.order ?: Int.MAX_VALUE
     }
 
-    private fun competingGateways() =
-        reserve.competingGateways(freeSlots, queue.highestPriority?.order ?: Int.MAX_VALUE)
+    private fun competingGateways() = peers.gatewaysWithWaiting(name, queue.highestPriority?.order ?: Int.MAX_VALUE)
 
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PriorityReserve.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PriorityReserve.kt
@@ -22,31 +22,13 @@
     public fun mayUse(freeSlots: Int, slots: Int, order: Int): Boolean =
         peers.waitingWithHigherPriority(pool, order) + reservedSlots(slots, order) < freeSlots
 
-    /**
-     * Number of gateways between which [freeSlots] free slots are divided for requests with [order], including this
-     * one: those in which such requests wait, or, when the slots are few, as many as will probably get such a request
-     * before they learn of what the others have sent.
-     */
-    public fun competingGateways(freeSlots: Int, order: Int): Int {
-        val waiting = peers.gatewaysWithWaiting(pool, order)
-        if (order == Int.MAX_VALUE) return waiting
-        val arriving = expectedBefore(order + 1)
-        return if (freeSlots < arriving * AMPLE_SLOTS_PER_REQUEST) maxOf(waiting, arriving) else waiting
-    }
-
-    private fun reservedSlots(slots: Int, order: Int) = minOf(expectedBefore(order), slots / MAXIMUM_RESERVED_DIVISOR)
-
-    /** Requests with a higher priority than [order] that arrive at all gateways until the next reports. */
-    private fun expectedBefore(order: Int): Int {
-        val atThisGateway = arrivals.expectedBefore(order, peers.reportIntervalMilliseconds)
-        return (atThisGateway * peers.gatewayCount).toInt()
+    private fun reservedSlots(slots: Int, order: Int): Int {
+        val expected = arrivals.expectedBefore(order, peers.reportIntervalMilliseconds) * peers.gatewayCount
+        return minOf(expected.toInt(), slots / MAXIMUM_RESERVED_DIVISOR)
     }
 
     private companion object {
         /** At most this part of the slots is kept free, so that a pool is used well whatever the load. */
         const val MAXIMUM_RESERVED_DIVISOR = 8
-
-        /** With more free slots than this for each request, gateways hardly ever choose the same one. */
-        const val AMPLE_SLOTS_PER_REQUEST = 4
     }
 }
