Logs: parts of prompts, what a lost request had received, and processes that ended

Change: prompt-parts in request.sent; request.lost with events, time and load; after a lost request one connection is opened to the endpoint, and endpoint.ended is written if it is not accepted; a counter of requests lost that way. No decision changes.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayHeaders.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayHeaders.kt
@@ -10,6 +10,7 @@
  * @property expectedEndpoint id of the only endpoint that may run the request, set by the gateway
  * @property tokenCount prompt tokens and maximum output tokens, separated by a comma
  * @property lengthHint the caller's estimate of the output tokens, correct at the median but often far off
+ * @property promptParts parts of the prompt in order, comma-separated, each an identifier, a colon and its tokens
  * @property notRun present in the response of an endpoint that has not run the request
  * @property endpointLoad in the response of an endpoint: running requests, waiting requests, slots and more,
  * comma-separated
@@ -24,6 +25,7 @@
     val expectedEndpoint: String,
     val tokenCount: String,
     val lengthHint: String,
+    val promptParts: String,
     val notRun: String,
     val endpointLoad: String,
     val lastEventId: String,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -10,6 +10,7 @@
 import org.guavahatch.gateway.control.ControlServer
 import org.guavahatch.gateway.control.GatewayState
 import org.guavahatch.gateway.endpoint.EndpointConnector
+import org.guavahatch.gateway.endpoint.ProcessEndDetector
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.observation.GatewayMetrics
 import org.guavahatch.gateway.peer.PeerExchange
@@ -52,6 +53,7 @@
             clock,
             headers,
             connector,
+            ProcessEndDetector(connector, clock),
             state.ledger,
             ConfiguredKeys(state, headers.key),
             bufferedResponses,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -28,6 +28,7 @@
 import org.guavahatch.model.forwarding.ForwardingRoute
 import org.guavahatch.scheduling.direct.RepeatedRequests
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.quarantine.PromptParts
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -135,6 +136,7 @@
             }
         val route = route(configuration, request).bind()
         val account = account(configuration, route, request).bind()
+        val parts = promptParts(request)
         val pool = choosePool(route)
         ensure(state.pool(pool).waitingRequests < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
         val tokens = tokenCount(request)
@@ -146,6 +148,7 @@
             pool,
             account,
             units,
+            parts,
             waitingRequest(request, route, state.pool(pool), account, tokens),
             configuration.version,
         )
@@ -248,6 +251,9 @@
         }?.pool ?: route.targets.first().pool
     }
 
+    private fun promptParts(request: CallerRequest): PromptParts =
+        request.headers.get(headers.promptParts)?.let(PromptParts::parse) ?: PromptParts.NONE
+
     private fun tokenCount(request: CallerRequest): TokenCount? {
         val parts = request.headers.get(headers.tokenCount)?.split(',') ?: return null
         val prompt = parts.getOrNull(0)?.trim()?.toLongOrNull() ?: return null
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -68,6 +68,9 @@
     /** Notes that an event of the current response is complete. */
     fun noteProgress() = progressLimit.noteProgress()
 
+    /** Keeps the connection, on which nothing was sent, for reuse. */
+    fun releaseUnused() = pool.release(this)
+
     /** Aborts the current request with a TCP reset, which discards what the endpoint has not received. */
     fun reset() {
         listener = null
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -12,6 +12,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val ended = HashMap<String, Counter>()
     private val sends = HashMap<String, Counter>()
+    private val lost = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
 
     /** Returns the current values in the Prometheus text format. */
@@ -27,6 +28,11 @@
         Counter.builder("guavahatch.gateway.sends").tag("pool", pool).tag("kind", kind).register(registry)
     }.increment()
 
+    /** Counts a request that was lost because the process of its endpoint in [pool] has ended. */
+    fun countLost(pool: String) = lost.getOrPut(pool) {
+        Counter.builder("guavahatch.gateway.requests.lost").tag("pool", pool).register(registry)
+    }.increment()
+
     /** Records the duration of [step] (queue, first-event, total) of a request of [rank]. */
     fun recordDuration(step: String, rank: Int, milliseconds: Long) = timers.getOrPut("$step $rank") {
         Timer.builder("guavahatch.gateway.duration")
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -8,6 +8,7 @@
 import org.guavahatch.gateway.caller.CallerResponder
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.SendHistory
+import org.guavahatch.scheduling.quarantine.EndpointProcess
 import java.util.concurrent.TimeUnit
 
 /**
@@ -87,6 +88,35 @@
         if (isRetried) requeue() else refuse("rejected", RETRY_AFTER_MILLISECONDS)
     }
 
+    /** The connection to the endpoint failed, or its response cannot be read, before the response was complete. */
+    internal fun onLost(endpoint: EndpointState, reason: String, lost: LostAttempt) {
+        context.log.write("request.lost", plan) {
+            put("endpoint", endpoint.listed.id)
+            put("reason", reason)
+            put("events", lost.events)
+            put("milliseconds", lost.milliseconds)
+            put("own-requests", endpoint.ownRequests)
+            put("peer-requests", endpoint.peerRequests)
+            put("prefill-tokens", endpoint.prefillTokens)
+            if (plan.parts.own != null) put("prompt-parts", plan.parts)
+        }
+        val process = EndpointProcess(endpoint.listed.id, endpoint.listed.incarnation)
+        val isLeaving = endpoint.isClosed
+        context.processEnds.onRequestLost(endpoint.listed) { onProcessEnded(process, isLeaving, lost, it) }
+        onFailed(endpoint, reason)
+    }
+
+    private fun onProcessEnded(process: EndpointProcess, isLeaving: Boolean, lost: LostAttempt, reason: String) {
+        context.metrics.countLost(plan.pool)
+        context.log.write("endpoint.ended", plan) {
+            put("endpoint", process.id)
+            put("process", process.incarnation ?: 0)
+            put("leaving", isLeaving)
+            put("answering", lost.isAnswering)
+            put("reason", reason)
+        }
+    }
+
     /** The endpoint failed; [fallback] forwards its error response to the caller, if it sent one. */
     internal fun onFailed(endpoint: EndpointState, reason: String, fallback: (() -> Unit)? = null) {
         endpoint.recordFailure(context.clock.monotonicMilliseconds(), isUnreachable = false)
@@ -214,15 +244,15 @@
         return context.loop.schedule(action, delay, TimeUnit.MILLISECONDS)
     }
 
-    private companion object {
+    companion object {
         /** Lets a refusal reach the caller before it disconnects. */
-        const val RESPONSE_MARGIN_MILLISECONDS = 50L
+        private const val RESPONSE_MARGIN_MILLISECONDS = 50L
 
         /** Approximate time in which a full pool frees capacity. */
-        const val RETRY_AFTER_MILLISECONDS = 200L
+        private const val RETRY_AFTER_MILLISECONDS = 200L
 
         /** Statuses that tell a caller that its request was not run; an endpoint must mark a response that means it. */
-        val NOT_RUN_STATUSES = setOf(
+        private val NOT_RUN_STATUSES = setOf(
             HttpResponseStatus.REQUEST_TIMEOUT.code(),
             HttpResponseStatus.TOO_MANY_REQUESTS.code(),
             HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -31,7 +31,9 @@
     private var isEnded = false
     private var pendingPrefillTokens = plan.waiting.promptTokens
     private var prefillTokensAtStart = 0L
+    private var firstEventAt = 0L
     private var lastEventAt = 0L
+    private var isAnswering = false
     private var silentSince = startedAt
     private var isReadingPaused = false
     private var stallTimer: ScheduledFuture<*>? = null
@@ -92,6 +94,7 @@
             put("own-requests", endpoint.ownRequests)
             put("peer-requests", endpoint.peerRequests)
             putTokens(plan)
+            if (plan.parts.own != null) put("prompt-parts", plan.parts)
             if (plan.waiting.promptTokens > 0) put("prefill-tokens", endpoint.prefillTokens)
             endpoint.prefillMillisecondsPerToken?.let { put("prefill-pace", it) }
             endpoint.sustainedPaceMilliseconds?.let { put("pace", it) }
@@ -174,6 +177,8 @@
             request.onFirstEvent(now - startedAt)
         }
         pendingPrefillTokens = 0
+        if (firstEventAt == 0L) firstEventAt = now
+        if (now - firstEventAt >= ANSWERING_MILLISECONDS) noteAnswering()
         val isUninterrupted = lastEventAt != 0L && silentSince == lastEventAt
         if (isUninterrupted) endpoint.recordPace((now - lastEventAt).toDouble())
         lastEventAt = now
@@ -182,6 +187,11 @@
         if (request.onEvent(event, checkNotNull(response))) connection?.noteProgress()
     }
 
+    private fun noteAnswering() {
+        if (isAnswering) return
+        isAnswering = true
+    }
+
     override fun onComplete() {
         if (isEnded) return
         val head = checkNotNull(response)
@@ -189,6 +199,7 @@
         val isNotRun = status == HttpResponseStatus.MISDIRECTED_REQUEST ||
             head.headers().contains(context.headers.notRun)
         finish()
+        if (status == HttpResponseStatus.OK) noteAnswering()
         when {
             isStream -> {
                 if (!isResumed) plan.waiting.estimatedTokens?.let { endpoint.recordLength(it, events) }
@@ -209,7 +220,7 @@
     override fun onFailure(reason: String) {
         if (isEnded) return
         finish()
-        request.onFailed(endpoint, reason)
+        request.onLost(endpoint, reason, LostAttempt(events, elapsed(), isAnswering))
     }
 
     private fun elapsed() = context.clock.monotonicMilliseconds() - startedAt
@@ -256,6 +267,9 @@
     private companion object {
         const val INITIAL_BUFFER_BYTES = 256
 
+        /** Time after the first event for which an endpoint that a request ends may still send events. */
+        const val ANSWERING_MILLISECONDS = 250L
+
         /**
          * The endpoint may close an idle connection just as a request is sent on it. At-most-once requests cannot be
          * resent, so they use only connections that were idle for a shorter time.
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -4,6 +4,7 @@
 import org.guavahatch.gateway.ByteBudget
 import org.guavahatch.gateway.GatewayHeaders
 import org.guavahatch.gateway.endpoint.EndpointConnector
+import org.guavahatch.gateway.endpoint.ProcessEndDetector
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.observation.GatewayMetrics
 import org.guavahatch.model.time.Clock
@@ -16,6 +17,7 @@
  * @property clock source of time
  * @property headers header names of the deployment
  * @property connector opens and pools connections to endpoints
+ * @property processEnds detects endpoints whose process has ended
  * @property ledger quota use of client accounts
  * @property keys keys that may be used now
  * @property bufferedResponses budget for the bytes of incomplete responses
@@ -27,6 +29,7 @@
     val clock: Clock,
     val headers: GatewayHeaders,
     val connector: EndpointConnector,
+    val processEnds: ProcessEndDetector,
     val ledger: AccountLedger,
     val keys: AcceptedKeys,
     val bufferedResponses: ByteBudget,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestPlan.kt
@@ -6,6 +6,7 @@
 import org.guavahatch.model.forwarding.ForwardingAccount
 import org.guavahatch.model.forwarding.ForwardingRoute
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.quarantine.PromptParts
 
 /**
  * An accepted request with its route, pool and quota charge.
@@ -16,6 +17,7 @@
  * @property pool name of the endpoint pool that serves it
  * @property account the caller's account, or null if the route needs none
  * @property units units charged to the account
+ * @property parts parts of its prompt
  * @property waiting its entry in the waiting queue
  * @property configurationVersion version of the configuration that it was planned with
  */
@@ -26,6 +28,7 @@
     val pool: String,
     val account: ForwardingAccount?,
     val units: Long,
+    val parts: PromptParts,
     val waiting: WaitingRequest,
     val configurationVersion: Long,
 )
