Prompt parts that end endpoints are found and held back

Cause: the outcome of a request was booked on the endpoint alone. A request that ended its endpoint was sent to the next one, the next request of its kind was accepted at any gateway, and nothing was learned of the request (class: poison pill, blame on the wrong party). The prompt parts that callers declare were passed on unread. Change: after a lost request the gateway checks whether the process accepts connections. If it has ended, the requests it had not begun to answer are evidence against their shared parts; an answer clears a part. Gateways exchange ends and answers in their datagrams, so that all count together, and hold requests with the deadly parts back for ten minutes: 503 if nothing ran, else 502. Requests that wait or are not answered yet are ended too. Quarantines are rows of the store for gateways that start later. Why it works: the deadly part is at every end and in no answer; sound parts are answered elsewhere; parts that only come along are dropped once answered; ends that a quarantine explains do not count against others.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -54,6 +54,7 @@
             headers,
             connector,
             ProcessEndDetector(connector, clock),
+            state.quarantine,
             state.ledger,
             ConfiguredKeys(state, headers.key),
             bufferedResponses,
@@ -132,6 +133,7 @@
         metrics.gauge("requests.open") { openRequests().toDouble() }
         metrics.gauge("requests.waiting") { state.pools().sumOf { it.waitingRequests }.toDouble() }
         metrics.gauge("peers.heard") { state.peers.freshReports().size.toDouble() }
+        metrics.gauge("quarantines") { state.quarantine.active.size.toDouble() }
         metrics.gauge("log.dropped") { log.droppedLines.toDouble() }
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -137,6 +137,9 @@
         val route = route(configuration, request).bind()
         val account = account(configuration, route, request).bind()
         val parts = promptParts(request)
+        context.quarantine.holdMilliseconds(parts)?.let { hold ->
+            raise(Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, ActiveRequest.QUARANTINED, hold))
+        }
         val pool = choosePool(route)
         ensure(state.pool(pool).waitingRequests < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
         val tokens = tokenCount(request)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -20,6 +20,8 @@
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SlotShares
+import org.guavahatch.scheduling.quarantine.Quarantine
+import org.guavahatch.scheduling.quarantine.QuarantineReport
 import kotlin.random.Random
 
 /**
@@ -59,6 +61,11 @@
     /** Latest reports of the other gateways. */
     val peers: PeerTable = PeerTable(clock, PEER_TIMEOUT_MILLISECONDS)
 
+    /** Prompt parts that end endpoints. */
+    val quarantine: QuarantineControl = QuarantineControl(loop, clock, log).also { control ->
+        control.onHeldBack = { pools.values.forEach { it.endQuarantined() } }
+    }
+
     /** Names and control addresses of the registered gateways. */
     var gateways: Map<String, String> = emptyMap()
         private set
@@ -150,6 +157,10 @@
         log.write("gateways.listed") { put("names", gateways.keys.sorted().joinToString(" ")) }
     }
 
+    override fun onQuarantineStored(stored: Quarantine) = quarantine.onStored(stored)
+
+    override fun onQuarantineDeleted(deleted: Quarantine) = quarantine.onDeleted(deleted)
+
     override fun onDependencyLost(dependency: String, reason: String) = log.write("dependency.lost") {
         put("dependency", dependency)
         put("reason", reason)
@@ -161,6 +172,7 @@
 
     /** Applies the report of a peer. */
     fun onPeerReport(report: PeerReport) {
+        quarantine.onPeerReport(report.quarantine)
         val isFirst = peers.freshReports().none { it.name == report.name }
         val used = peers.processReport(report) ?: return
         val levels = report.accounts?.levels
@@ -190,6 +202,7 @@
             accounts = if (detail == ReportDetail.COMPLETE) AccountReport(ledger.levels, use) else null,
             waiting = pools.values.mapNotNull { pool -> pool.highestRankWaiting?.let { pool.name to it } }.toMap(),
             changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
+            quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
@@ -3,6 +3,7 @@
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.model.identity.EndpointId
+import org.guavahatch.scheduling.quarantine.Quarantine
 
 /** Receives the changes that a platform adapter observes, on the gateway's event loop. */
 interface PlatformListener {
@@ -35,6 +36,12 @@
     /** [peers] holds the control addresses of all registered gateways by name. */
     fun onGatewaysChanged(peers: Map<String, String>)
 
+    /** The store holds the quarantine [stored]. */
+    fun onQuarantineStored(stored: Quarantine)
+
+    /** The quarantine [deleted] was deleted from the store. */
+    fun onQuarantineDeleted(deleted: Quarantine)
+
     /** The connection to [dependency] was lost, for [reason]. */
     fun onDependencyLost(dependency: String, reason: String)
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -22,6 +22,9 @@
  * @property wantsEcho whether the sender needs echoes to confirm its configuration; senders of earlier versions, which
  * leave it out, always do
  * @property changedUse [accountUse] of the accounts that have changed since the last datagram with [accountUse]
+ * @property crashes ends of endpoints that the sender has observed
+ * @property answeredParts milliseconds since the latest answer to a request with a suspected prompt part, by part
+ * @property quarantines milliseconds for which requests are still held back, by their prompt parts
  */
 @Serializable
 internal class PeerDatagram(
@@ -37,4 +40,21 @@
     @CborLabel(10) val waiting: Map<String, List<Int>>,
     @CborLabel(11) val wantsEcho: Boolean = true,
     @CborLabel(12) val changedUse: Map<String, Long> = emptyMap(),
+    @CborLabel(13) val crashes: List<ObservedCrash> = emptyList(),
+    @CborLabel(14) val answeredParts: Map<String, Long> = emptyMap(),
+    @CborLabel(15) val quarantines: Map<String, Long> = emptyMap(),
+)
+
+/**
+ * The end of an endpoint in a [PeerDatagram].
+ *
+ * @property process the process that ended
+ * @property age milliseconds since its end
+ * @property requests prompt parts of each request without an answer
+ */
+@Serializable
+internal class ObservedCrash(
+    @CborLabel(1) val process: String,
+    @CborLabel(2) val age: Long,
+    @CborLabel(3) val requests: List<String>,
 )
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -22,6 +22,10 @@
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.WaitingReport
+import org.guavahatch.scheduling.quarantine.CrashReport
+import org.guavahatch.scheduling.quarantine.PromptParts
+import org.guavahatch.scheduling.quarantine.Quarantine
+import org.guavahatch.scheduling.quarantine.QuarantineReport
 import java.util.concurrent.TimeUnit
 
 /**
@@ -120,6 +124,11 @@
         report.waiting.mapValues { (_, waiting) -> listOf(waiting.order, waiting.requests) },
         state.freshness.needsConfirmation(),
         report.changedUse,
+        report.quarantine.crashes.map { crash ->
+            ObservedCrash(crash.process, crash.ageMilliseconds, crash.requests.map { it.toString() })
+        },
+        report.quarantine.answerAges,
+        report.quarantine.remaining.mapKeys { (quarantine, _) -> quarantine.toString() },
     )
 
     private fun read(packet: DatagramPacket) {
@@ -168,6 +177,16 @@
         accounts = accountsOf(datagram),
         waiting = datagram.waiting.mapValues { (_, waiting) -> WaitingReport(waiting[0], waiting[1]) },
         changedUse = datagram.changedUse,
+        quarantine = quarantineOf(datagram),
+    )
+
+    private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
+        crashes = datagram.crashes.map { crash ->
+            CrashReport(crash.process, maxOf(0, crash.age), crash.requests.map(PromptParts::parse))
+        },
+        answerAges = datagram.answeredParts.mapValues { (_, age) -> maxOf(0, age) },
+        remaining = datagram.quarantines.entries
+            .mapNotNull { (parts, remaining) -> Quarantine.parse(parts)?.let { it to remaining } }.toMap(),
     )
 
     private fun accountsOf(datagram: PeerDatagram): AccountReport? {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -115,6 +115,15 @@
             put("answering", lost.isAnswering)
             put("reason", reason)
         }
+        if (!isLeaving && !lost.isAnswering) context.quarantine.onCrash(process, plan.parts)
+    }
+
+    /** Ends the request if it is in quarantine, unless an endpoint is answering it. */
+    fun endIfQuarantined() {
+        if (completion.isCompleted || isContinuation) return
+        val hold = context.quarantine.holdMilliseconds(plan.parts) ?: return
+        cancelAttempt()
+        refuse(QUARANTINED, hold)
     }
 
     /** The endpoint failed; [fallback] forwards its error response to the caller, if it sent one. */
@@ -228,6 +237,9 @@
     }
 
     private fun requeue() {
+        if (!isContinuation) {
+            context.quarantine.holdMilliseconds(plan.parts)?.let { return refuse(QUARANTINED, it) }
+        }
         plan.waiting.hasAnswerBegun = history.hasAnswerBegun
         dispatcher.enqueue(this)
     }
@@ -245,6 +257,9 @@
     }
 
     companion object {
+        /** Outcome of a request whose prompt is in quarantine. */
+        const val QUARANTINED = "quarantined"
+
         /** Lets a refusal reach the caller before it disconnects. */
         private const val RESPONSE_MARGIN_MILLISECONDS = 50L
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -190,6 +190,7 @@
     private fun noteAnswering() {
         if (isAnswering) return
         isAnswering = true
+        context.quarantine.onAnswered(plan.parts)
     }
 
     override fun onComplete() {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -33,6 +33,7 @@
     private val queue = WaitingQueue()
     private val forecast = QueueForecast()
     private val reserve = PriorityReserve(name, peers, clock)
+    private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
     private var isDispatching = false
@@ -58,8 +59,7 @@
         get() = queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
 
     /** Number of submitted requests that have not ended. */
-    var openRequests: Int = 0
-        private set
+    val openRequests: Int get() = open.size
 
     /** Whether nothing waits and at least a quarter of the slots is free. */
     val hasSpareCapacity: Boolean get() = queue.size == 0 && freeSlots * SPARE_CAPACITY_DIVISOR >= slots
@@ -73,7 +73,7 @@
 
     /** Counts [active] as a new request and queues it. */
     fun submit(active: ActiveRequest) {
-        openRequests++
+        open.add(active)
         allowance.recordRequest()
         reserve.recordArrival(active.plan.waiting.order)
         enqueue(active)
@@ -96,9 +96,12 @@
     /** Notes that [active] has ended. */
     fun onEnded(active: ActiveRequest) {
         remove(active)
-        openRequests--
+        open.remove(active)
     }
 
+    /** Ends the requests that are in quarantine now. */
+    fun endQuarantined() = open.toList().forEach { it.endIfQuarantined() }
+
     /** Called when an endpoint has freed capacity. */
     fun onCapacityFreed() {
         onChange()
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import org.guavahatch.gateway.ByteBudget
 import org.guavahatch.gateway.GatewayHeaders
+import org.guavahatch.gateway.control.QuarantineControl
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.endpoint.ProcessEndDetector
 import org.guavahatch.gateway.observation.DecisionLog
@@ -18,6 +19,7 @@
  * @property headers header names of the deployment
  * @property connector opens and pools connections to endpoints
  * @property processEnds detects endpoints whose process has ended
+ * @property quarantine requests that must not be sent because their prompts end endpoints
  * @property ledger quota use of client accounts
  * @property keys keys that may be used now
  * @property bufferedResponses budget for the bytes of incomplete responses
@@ -30,6 +32,7 @@
     val headers: GatewayHeaders,
     val connector: EndpointConnector,
     val processEnds: ProcessEndDetector,
+    val quarantine: QuarantineControl,
     val ledger: AccountLedger,
     val keys: AcceptedKeys,
     val bufferedResponses: ByteBudget,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -1,6 +1,7 @@
 package org.guavahatch.scheduling.direct
 
 import org.guavahatch.model.time.Clock
+import org.guavahatch.scheduling.quarantine.QuarantineReport
 
 /**
  * The registered gateways and the latest report of each.
@@ -99,6 +100,7 @@
  * @property accounts use of all client accounts, or null if the message does not include it
  * @property waiting waiting requests of the highest priority, by pool
  * @property changedUse [AccountReport.use] of the accounts whose use has changed since the last message with [accounts]
+ * @property quarantine what the gateway tells of prompt parts that end endpoints
  */
 public data class PeerReport(
     public val name: String,
@@ -109,6 +111,7 @@
     public val accounts: AccountReport?,
     public val waiting: Map<String, WaitingReport>,
     public val changedUse: Map<String, Long> = emptyMap(),
+    public val quarantine: QuarantineReport = QuarantineReport(),
 )
 
 /**
