A quarantine that shrinks stays in force at the other gateways

Cause: a sound part that had come along was answered, so one gateway replaced the row of both parts by one of the deadly part. The others took the deleted row for an operator's release, and dropped the evidence against both parts. Change: the row of a shrunk quarantine stays until its time is over; the end of a quarantine clears no part that another one holds back.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/QuarantineControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/QuarantineControl.kt
@@ -89,8 +89,9 @@
     private fun review() {
         isReviewScheduled = false
         val changes = quarantine.review()
-        changes.refuted.forEach { logEnd(it, "answered") }
+        (changes.refuted + changes.shrunk).forEach { logEnd(it, "answered") }
         changes.ended.forEach { logEnd(it, "time") }
+        // The row of a shrunk quarantine stays until it ends: deleting it would release its parts at other gateways.
         (changes.refuted + changes.ended).forEach { store?.delete(it) }
         changes.added.forEach {
             store?.save(it)
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/quarantine/PromptQuarantine.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/quarantine/PromptQuarantine.kt
@@ -75,10 +75,13 @@
         return true
     }
 
-    /** Ends [quarantine] and drops the evidence against its parts; false if it was not in force. */
+    /**
+     * Ends [quarantine] and drops the evidence against its parts, except those that another quarantine holds back; false
+     * if it was not in force.
+     */
     public fun release(quarantine: Quarantine): Boolean {
         if (endsAt.remove(quarantine) == null) return false
-        evidence.recordAnswered(quarantine.parts)
+        evidence.recordAnswered(quarantine.parts - endsAt.keys.flatMap { it.parts }.toSet())
         released.addLast(quarantine)
         if (released.size > MAXIMUM_REPORTED_QUARANTINES) released.removeFirst()
         return true
@@ -103,7 +106,10 @@
         refuted.forEach(endsAt::remove)
         val added = reduced.filter { (quarantine, remaining) -> add(quarantine, remaining) }.map { it.first } +
             generateSequence { addDeadlyParts() }.takeWhile { it.isNotEmpty() }.flatten().toList()
-        return QuarantineChanges(added, ended.toList(), refuted.toList())
+        val shrunk = refuted.filter { quarantine ->
+            reduced.any { (rest, _) -> quarantine.parts.containsAll(rest.parts) }
+        }
+        return QuarantineChanges(added, ended.toList(), refuted.toList() - shrunk.toSet(), shrunk)
     }
 
     private fun addDeadlyParts(): List<Quarantine> =
@@ -127,12 +133,14 @@
  *
  * @property added quarantines that have begun
  * @property ended quarantines whose time is over
- * @property refuted quarantines with a part that was answered; those with further parts begin anew without it
+ * @property refuted quarantines that are over because their parts were answered
+ * @property shrunk quarantines of which some parts were answered; those with the other parts are among [added]
  */
 public data class QuarantineChanges(
     public val added: List<Quarantine>,
     public val ended: List<Quarantine>,
     public val refuted: List<Quarantine>,
+    public val shrunk: List<Quarantine>,
 )
 
 /**
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/quarantine/PromptQuarantineTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/quarantine/PromptQuarantineTest.kt
@@ -158,6 +158,16 @@
         assertEquals(emptySet(), second.active)
     }
 
+    @Test
+    fun `the end of a quarantine does not clear a part that another one holds back`() {
+        val quarantine = PromptQuarantine(ManualClock(1_000))
+        val (larger, smaller) = listOf(persistentSetOf("a", "d"), persistentSetOf("d")).map(::Quarantine)
+        listOf(larger, smaller).forEach { quarantine.add(it) }
+        quarantine.release(larger)
+        quarantine.review()
+        assertEquals(setOf(smaller), quarantine.active)
+    }
+
     @Test
     fun `memory and reports are bounded when many parts and ends are forged`() {
         val clock = ManualClock(1_000)
