--- a/gateway/src/main/kotlin/org/guavahatch/gateway/SocketAddresses.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/SocketAddresses.kt
@@ -1,10 +1,20 @@
 package org.guavahatch.gateway
 
+import io.netty.util.NetUtil
 import java.net.InetSocketAddress
 
 /** Parses addresses of the form `IP:PORT`. */
 object SocketAddresses {
-    /** Parses [text]. The host must be an IP address; a host name would be looked up, which blocks the thread. */
+    private val ports = 1..65_535
+
+    /** Parses [text], which must be valid. */
     fun parse(text: String): InetSocketAddress =
-        InetSocketAddress(text.substringBeforeLast(':'), text.substringAfterLast(':').toInt())
+        requireNotNull(parseOrNull(text)) { "Not an IPv4 address and a port: $text" }
+
+    /** Parses [text]; null if it is no IPv4 address with a port. Host names would be looked up, which blocks the thread. */
+    fun parseOrNull(text: String): InetSocketAddress? {
+        val host = text.substringBeforeLast(':')
+        val port = text.substringAfterLast(':').toIntOrNull()?.takeIf { it in ports } ?: return null
+        return if (NetUtil.isValidIpV4Address(host)) InetSocketAddress(host, port) else null
+    }
 }
