A stream that broke off ends broken off, whatever the next endpoint answers

What callers saw: a stream broke off and the next endpoint answered 400, 404, a rejection or the like: the gateway wrote that answer behind the events. Netty's encoder refuses a second head, so nothing was written, but the request counted as ended: a caller with a connection to be closed saw it cut, one that keeps its connection waited for an end that never came. A stream that ended inside an event, or with its connection before the first event, was passed on as complete. Cause: only failures of endpoints looked whether the answer had begun; refusals and answers of other kinds did not. The bytes after the last event were passed on whatever they were. Change: once an answer has begun, anything but the rest of the stream is a failure: resumed elsewhere, or the connection is closed. Bytes of an unfinished event are not passed on, and the stream counts as broken off; comments at its end still are.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -106,10 +106,6 @@
         listener?.onHead(response)
     }
 
-    private fun isSelfDelimited(response: HttpResponse) = HttpUtil.isTransferEncodingChunked(response) ||
-        HttpUtil.isContentLengthSet(response) ||
-        response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-
     private fun readContent(content: HttpContent) {
         if (content.decoderResult().isFailure) return abort("not an HTTP body")
         val isLast = content is LastHttpContent
@@ -153,7 +149,12 @@
         current.onFailure(failureReason)
     }
 
-    private companion object {
-        const val FIRST_FINAL_STATUS = 200
+    companion object {
+        private const val FIRST_FINAL_STATUS = 200
+
+        /** Whether the end of [response] can be told from the end of its connection. */
+        fun isSelfDelimited(response: HttpResponse): Boolean = HttpUtil.isTransferEncodingChunked(response) ||
+            HttpUtil.isContentLengthSet(response) ||
+            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -52,10 +52,10 @@
 
     /** Ends the request because no endpoint can serve it now. */
     fun refuse(reason: String, retryAfterMilliseconds: Long) {
-        if (history.isNotRun) {
-            completion.notRun(reason, retryAfterMilliseconds)
-        } else {
-            completion.fail(HttpResponseStatus.BAD_GATEWAY, reason)
+        when {
+            history.hasAnswerBegun -> completion.abort(reason)
+            history.isNotRun -> completion.notRun(reason, retryAfterMilliseconds)
+            else -> completion.fail(HttpResponseStatus.BAD_GATEWAY, reason)
         }
     }
 
@@ -162,16 +162,18 @@
         return true
     }
 
-    internal fun onStreamComplete(endpoint: EndpointState, response: HttpResponse, remainder: ByteBuf) {
+    /** The stream of the endpoint has ended; [trailer] holds comments after its last event. */
+    internal fun onStreamComplete(endpoint: EndpointState, response: HttpResponse, trailer: ByteBuf) {
         endpoint.recordSuccess()
         releaseEndpoint(endpoint)
         completion.beginResponse(response)
-        if (remainder.isReadable) responder.write(remainder) else remainder.release()
+        if (trailer.isReadable) responder.write(trailer) else trailer.release()
         completion.completeStream()
     }
 
     internal fun onResponse(endpoint: EndpointState, response: HttpResponse, body: ByteBuf) {
         val status = response.status().code()
+        if (history.hasAnswerBegun) return onFailed(endpoint, "status $status instead of the rest of a stream")
         if (status in NOT_RUN_STATUSES) {
             return onFailed(endpoint, "status $status without a statement that it was not run")
         }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -196,26 +196,27 @@
     override fun onComplete() {
         if (isEnded) return
         val head = checkNotNull(response)
+        if (isStream) return onStreamEnd(head)
         val status = head.status()
         val isNotRun = status == HttpResponseStatus.MISDIRECTED_REQUEST ||
             head.headers().contains(context.headers.notRun)
         finish()
-        if (status == HttpResponseStatus.OK) noteAnswering()
-        when {
-            isStream -> {
-                if (!isResumed) plan.waiting.estimatedTokens?.let { endpoint.recordLength(it, events) }
-                request.onStreamComplete(endpoint, head, splitter.takeRemainder())
-            }
-            isNotRun -> request.onRejected(endpoint, status)
-            else -> {
-                if (status == HttpResponseStatus.OK &&
-                    plan.waiting.promptTokens == 0L
-                ) {
-                    endpoint.recordPace(elapsed().toDouble())
-                }
-                request.onResponse(endpoint, head, bufferedBody)
-            }
+        if (isNotRun) return request.onRejected(endpoint, status)
+        if (status == HttpResponseStatus.OK) {
+            noteAnswering()
+            if (plan.waiting.promptTokens == 0L) endpoint.recordPace(elapsed().toDouble())
         }
+        request.onResponse(endpoint, head, bufferedBody)
+    }
+
+    /** A stream that ends inside an event, or before its first one with the connection, was broken off. */
+    private fun onStreamEnd(head: HttpResponse) {
+        val isEmpty = events == 0 && !EndpointConnection.isSelfDelimited(head)
+        if (splitter.isInsideEvent || isEmpty) return onFailure("the stream ended inside an event or without one")
+        finish()
+        noteAnswering()
+        if (!isResumed) plan.waiting.estimatedTokens?.let { endpoint.recordLength(it, events) }
+        request.onStreamComplete(endpoint, head, splitter.takeRemainder())
     }
 
     override fun onFailure(reason: String) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
@@ -37,6 +37,10 @@
     /** Number of buffered bytes of an incomplete event. */
     val remainderBytes: Int get() = remainder.readableBytes()
 
+    /** Whether the buffered bytes belong to an event, not only to comments after the last one. */
+    val isInsideEvent: Boolean get() = remainder.toString(StandardCharsets.ISO_8859_1).lineSequence()
+        .any { line -> line.isNotBlank() && line[0] != COLON.toInt().toChar() }
+
     /** Removes and returns the buffered bytes of an incomplete event. */
     fun takeRemainder(): ByteBuf = remainder.also { remainder = Unpooled.EMPTY_BUFFER }
 
