--- a/gateway/src/main/kotlin/org/guavahatch/gateway/SocketAddresses.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/SocketAddresses.kt
@@ -5,9 +5,9 @@
 
 /** Parses addresses of the form `IP:PORT`. */
 object SocketAddresses {
-    private val ports = 1..65_535
+    private val ports = 0..65_535
 
-    /** Parses [text], which must be valid. */
+    /** Parses [text], which must be valid; port 0 is any free port. */
     fun parse(text: String): InetSocketAddress =
         requireNotNull(parseOrNull(text)) { "Not an IPv4 address and a port: $text" }
 
