--- a/gateway/src/main/kotlin/org/guavahatch/gateway/SocketAddresses.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/SocketAddresses.kt
@@ -11,7 +11,10 @@
     fun parse(text: String): InetSocketAddress =
         requireNotNull(parseOrNull(text)) { "Not an IPv4 address and a port: $text" }
 
-    /** Parses [text]; null if it is no IPv4 address with a port. Host names would be looked up, which blocks the thread. */
+    /**
+     * Parses [text]; null if it is no IPv4 address with a port. Host names are refused, since their lookup would block
+     * the thread.
+     */
     fun parseOrNull(text: String): InetSocketAddress? {
         val host = text.substringBeforeLast(':')
         val port = text.substringAfterLast(':').toIntOrNull()?.takeIf { it in ports } ?: return null
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/quarantine/PromptQuarantine.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/quarantine/PromptQuarantine.kt
@@ -76,8 +76,9 @@
     }
 
     /**
-     * Ends [quarantine] and drops the evidence against its parts, except those that another quarantine holds back; false
-     * if it was not in force.
+     * Ends [quarantine] and drops the evidence against its parts, except those that another quarantine holds back.
+     *
+     * @return false if it was not in force
      */
     public fun release(quarantine: Quarantine): Boolean {
         if (endsAt.remove(quarantine) == null) return false
