--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -45,7 +45,7 @@
     }
 
     void note(String text) {
-        String line = String.format("%7d ms  %s", now(), text);
+        String line = String.format("%7d ms  %s", now(), text.replaceAll("[^\\x20-\\x7e]", "?"));
         synchronized (record) {
             record.println(line);
         }
@@ -76,8 +76,7 @@
 
     /** Starts a gateway with the command of the deploy file and waits until it is ready and lists the workers. */
     Gateway startGateway(String name) throws IOException, InterruptedException {
-        Gateway gateway = new Gateway(name);
-        gateways.add(gateway);
+        Gateway gateway = gateway(name);
         gateway.start();
         for (int attempt = 0; attempt < 200; attempt++) {
             if (gateway.readiness() == 200) {
@@ -90,6 +89,13 @@
         throw new CannotRun("the gateway " + name + " does not become ready");
     }
 
+    /** A gateway that is not started yet. */
+    Gateway gateway(String name) throws IOException {
+        Gateway gateway = new Gateway(name);
+        gateways.add(gateway);
+        return gateway;
+    }
+
     @Override
     public void close() throws IOException {
         for (Gateway gateway : gateways) {
@@ -126,7 +132,7 @@
             return addresses.get("callers");
         }
 
-        private void start() throws IOException {
+        void start() throws IOException {
             Path settings = temporary.resolve(name + ".jsonc");
             Files.writeString(settings, fill(Files.readString(root.resolve("deploy/settings.jsonc"))));
             List<String> command = new ArrayList<>();
