Add a review case on deadly prompts and streams without a length

A stream without a length that ends between two events with its process counts as an answer, so the part that crashed the process is never held back.

--- a/review/standins/Engines.java
+++ b/review/standins/Engines.java
@@ -21,13 +21,25 @@
     private final Site site;
     private final boolean isDeadly;
     private final int firstEventMilliseconds;
+    private final boolean isFramed;
     private final List<Long> crashes = Collections.synchronizedList(new ArrayList<>());
     private final List<Long> deadlyArrivals = Collections.synchronizedList(new ArrayList<>());
     private final Set<String> begun = ConcurrentHashMap.newKeySet();
 
     /** Starts and lists {@code count} workers. */
     Engines(Site site, int count, int firstEventMilliseconds, boolean isDeadly) throws IOException {
+        this(site, count, firstEventMilliseconds, isDeadly, true);
+    }
+
+    /**
+     * Starts and lists {@code count} workers.
+     *
+     * @param isFramed whether answers come in chunks; if not, they have no length and end with their connections, also
+     * when the worker crashes
+     */
+    Engines(Site site, int count, int firstEventMilliseconds, boolean isDeadly, boolean isFramed) throws IOException {
         this.site = site;
+        this.isFramed = isFramed;
         this.isDeadly = isDeadly;
         this.firstEventMilliseconds = firstEventMilliseconds;
         for (int number = 0; number < count; number++) {
@@ -76,7 +88,8 @@
                 long sentAt = site.now();
                 Answer answer = Answer.read(socket.getInputStream());
                 site.note("client: " + id + " at " + gateway.name + " gets " + answer.status() + " after "
-                    + (site.now() - sentAt) + " ms, complete: " + answer.isComplete() + ", Retry-After: "
+                    + (site.now() - sentAt) + " ms, events: " + answer.body().lines().filter(line -> line.startsWith("id:")).count()
+                    + " of " + EVENTS + ", complete: " + answer.isComplete() + ", Retry-After: "
                     + answer.headers().get("retry-after"));
             } catch (IOException exception) {
                 site.note("client: " + id + ": " + exception);
@@ -109,19 +122,29 @@
             }
             Case.sleep(firstEventMilliseconds);
             if (hasDeadlyPart && isDeadly) {
+                if (!isFramed) {
+                    exchange.write(exchange.head("Content-Type: text/event-stream\r\n") + event(1));
+                }
                 crash(exchange.id());
                 return false;
             }
             begun.add(exchange.id());
             site.note("worker " + id + ": begins " + exchange.id());
-            exchange.write(exchange.head("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"));
+            exchange.write(exchange.head("Content-Type: text/event-stream\r\n"
+                + (isFramed ? "Transfer-Encoding: chunked\r\n" : "")));
             for (int number = 1; number <= EVENTS; number++) {
-                String event = "id: " + number + "\ndata: some words\n\n";
-                exchange.write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+                String event = event(number);
+                exchange.write(isFramed ? Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" : event);
                 Case.sleep(PAUSE_MILLISECONDS);
             }
-            exchange.write("0\r\n\r\n");
-            return true;
+            if (isFramed) {
+                exchange.write("0\r\n\r\n");
+            }
+            return isFramed;
+        }
+
+        private static String event(int number) {
+            return "id: " + number + "\ndata: some words\n\n";
         }
 
         private synchronized void crash(String request) throws IOException {
@@ -132,7 +155,7 @@
             worker = null;
             crashes.add(site.now());
             site.note("worker " + id + ": crashes as it begins " + request);
-            crashed.crash();
+            crashed.crash(isFramed);
             Case.start(() -> {
                 Case.sleep(WORKER_DOWN_MILLISECONDS);
                 try {
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -76,11 +76,18 @@
         return "127.0.0.1:" + server.getLocalPort();
     }
 
-    /** Ends the worker with all its connections. */
+    /** Ends the worker with all its connections, which are reset. */
     void crash() throws IOException {
+        crash(true);
+    }
+
+    /** Ends the worker; its connections are reset or, as when a process is killed that has read all, closed. */
+    void crash(boolean isReset) throws IOException {
         server.close();
         for (Socket socket : sockets) {
-            socket.setSoLinger(true, 0);
+            if (isReset) {
+                socket.setSoLinger(true, 0);
+            }
             socket.close();
         }
     }
