Put the review case on a planned stop back

Of the cases that were shown, requests that are lost at a planned stop are graver than a part that is not held back, so the play DeadlyUnframed leaves the five; its stand-in stays.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
 cd "$(dirname "${BASH_SOURCE[0]}")" || exit 2
-[ -f ../target/DeadlyUnframed.class ] && [ -f ../../target/guavahatchd.jar ] || exit 2
-java -cp ../target DeadlyUnframed . &
+[ -f ../target/StopWithQueue.class ] && [ -f ../../target/guavahatchd.jar ] || exit 2
+java -cp ../target StopWithQueue . &
 child=$!
 trap 'kill "$child" 2>/dev/null' EXIT TERM INT
 wait "$child"
