Leave nothing behind when a review script is ended

Cause: a script that got SIGTERM exited before its Java process and the gateways had ended, and left its temporary folder: in a trial with all five scripts one process was still there at once, none a second later, and five folders stayed. Change: run.sh waits for its process before it exits; the process kills its gateways and waits for them, starts no more while it ends, and deletes the folder in the shutdown hook as well.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,8 @@
 [ -f ../target/EarlyReset.class ] && [ -f ../../target/guavahatchd.jar ] || exit 2
 java -cp ../target EarlyReset . &
 child=$!
-trap 'kill "$child" 2>/dev/null' EXIT TERM INT
+trap 'kill "$child" 2>/dev/null; wait "$child" 2>/dev/null' EXIT
+trap 'exit 2' TERM INT
 wait "$child"
 case $? in
   0) exit 0 ;;
--- a/review/standins/Site.java
+++ b/review/standins/Site.java
@@ -25,17 +25,20 @@
 final class Site implements AutoCloseable {
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([^{}]*)}}");
 
+    private static final int SECONDS_TO_END = 5;
+
     final Store store = new Store();
     private final Path root;
     private final Path temporary = Files.createTempDirectory("review");
     private final PrintWriter record;
     private final List<Gateway> gateways = new CopyOnWriteArrayList<>();
     private final long startedAt = System.nanoTime();
+    private boolean isEnding;
 
     Site(Path caseFolder) throws IOException {
         root = caseFolder.toAbsolutePath().normalize().getParent().getParent();
         // Ends the gateways also if the case itself is ended by a signal.
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(Gateway::kill)));
+        Runtime.getRuntime().addShutdownHook(new Thread(this::cleanUp));
         record = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")), true);
     }
 
@@ -97,17 +100,30 @@
     }
 
     @Override
-    public void close() throws IOException {
-        for (Gateway gateway : gateways) {
-            gateway.kill();
-        }
+    public void close() {
+        cleanUp();
         store.close();
         record.close();
+    }
+
+    /** Ends all gateways, of which no more can be started then, and deletes the temporary folder. */
+    private synchronized void cleanUp() {
+        isEnding = true;
+        gateways.forEach(Gateway::kill);
         try (Stream<Path> files = Files.walk(temporary)) {
             files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException exception) {
+            // The folder is deleted already.
         }
     }
 
+    private synchronized Process startProcess(ProcessBuilder builder) throws IOException {
+        if (isEnding) {
+            throw new CannotRun("the case is ending");
+        }
+        return builder.start();
+    }
+
     /** The case could not be played. */
     static final class CannotRun extends RuntimeException {
         CannotRun(String reason) {
@@ -139,8 +155,8 @@
             for (String word : runCommand().split(" ")) {
                 command.add(word.equals("/etc/guavahatch/settings.yaml") ? settings.toString() : word);
             }
-            process = new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true)
-                .redirectOutput(temporary.resolve(name + ".log").toFile()).start();
+            process = startProcess(new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true)
+                .redirectOutput(temporary.resolve(name + ".log").toFile()));
             note(name + ": process " + process.pid() + " is started");
         }
 
@@ -218,7 +234,11 @@
 
         void kill() {
             if (process != null) {
-                process.destroyForcibly();
+                try {
+                    process.destroyForcibly().waitFor(SECONDS_TO_END, TimeUnit.SECONDS);
+                } catch (InterruptedException exception) {
+                    Thread.currentThread().interrupt();
+                }
             }
         }
     }
