--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -39,12 +40,14 @@
     private val requestIdHeader: String,
     private val pool: IdleConnections,
     private val progressLimit: ProgressLimit,
+    private val input: EndpointInput,
 ) : ChannelInboundHandlerAdapter() {
     private var listener: EndpointResponseListener? = null
     private var requestId = ""
     private var isBodyWritten = false
     private var isSkippingResponse = false
     private var isReadingResponse = false
+    private var isSelfDelimited = false
     private var closesAfterResponse = false
     private var failureReason = "closed by the endpoint"
 
@@ -61,7 +64,7 @@
         progressLimit.noteProgress()
         channel.writeAndFlush(request).addListener { future ->
             isBodyWritten = future.isSuccess
-            if (!future.isSuccess) channel.close()
+            if (!future.isSuccess) abort("request not written: ${future.cause().message}")
         }
     }
 
@@ -100,7 +103,8 @@
         if (isSkippingResponse) return
         isReadingResponse = true
         progressLimit.noteProgress()
-        closesAfterResponse = !HttpUtil.isKeepAlive(response) || !isSelfDelimited(response)
+        isSelfDelimited = isSelfDelimited(response)
+        closesAfterResponse = !HttpUtil.isKeepAlive(response) || !isSelfDelimited
         keepAliveMilliseconds = KeepAliveHeader.timeoutMilliseconds(response.headers().get("Keep-Alive"))
             ?: keepAliveMilliseconds
         listener?.onHead(response)
@@ -115,7 +119,8 @@
         }
         if (!isReadingResponse) return
         if (content.content().isReadable) listener?.onData(content.content())
-        if (isLast) complete()
+        if (!isLast) return
+        if (isSelfDelimited || input.hasEndedInOrder) complete() else abort("closed before the end of the answer")
     }
 
     private fun complete() {
@@ -133,11 +138,14 @@
         fail()
     }
 
-    override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) {
-        // A reset must not be mistaken for the regular end of a response without a length.
-        abort(exception.message ?: exception.javaClass.simpleName)
+    override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent) channel.close()
+        context.fireUserEventTriggered(event)
     }
 
+    override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) =
+        abort(exception.message ?: exception.javaClass.simpleName)
+
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(this)
         fail()
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -31,11 +31,13 @@
         .group(loop)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
         .handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline()
-                    .addLast(ProgressLimit(maximumBytesWithoutProgress), HttpRequestEncoder(), HttpResponseDecoder())
+                    .addLast(EndpointInput(), ProgressLimit(maximumBytesWithoutProgress))
+                    .addLast(HttpRequestEncoder(), HttpResponseDecoder())
             }
         })
 
@@ -60,7 +62,8 @@
             }
             val pipeline = channelFuture.channel().pipeline()
             val limit = pipeline.get(ProgressLimit::class.java)
-            val connection = EndpointConnection(channelFuture.channel(), requestIdHeader, idle, limit)
+            val input = pipeline.get(EndpointInput::class.java)
+            val connection = EndpointConnection(channelFuture.channel(), requestIdHeader, idle, limit, input)
             pipeline.addLast(connection)
             use(connection.right())
         }
