--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -86,20 +86,29 @@
 
     /**
      * Stops without interrupting requests: reports not ready at once, later stops accepting connections, and waits for
-     * open requests within the grace time.
+     * open requests within the grace time. Requests that are open near its end are answered as not run or failed.
      */
     fun stop() {
         loop.execute {
             log.write("process.stopping") { put("open-requests", openRequests()) }
-            admission.isStopping = true
+            val duration = graceMilliseconds(SERVICE_FRACTION)
+            state.stop.begin(clock.monotonicMilliseconds() + duration)
             loop.schedule({ stopAccepting() }, LISTEN_AFTER_STOP_MILLISECONDS, TimeUnit.MILLISECONDS)
+            loop.schedule({ endOpenRequests() }, duration, TimeUnit.MILLISECONDS)
         }
-        val grace = (settings.stop.graceSeconds * GRACE_FRACTION * MILLISECONDS_PER_SECOND).toLong()
-        stopSignal.await(grace, TimeUnit.MILLISECONDS)
+        stopSignal.await(graceMilliseconds(EXIT_FRACTION), TimeUnit.MILLISECONDS)
         log.write("process.stopped") { put("open-requests", openRequests()) }
         log.flush()
     }
 
+    private fun graceMilliseconds(fraction: Double) =
+        (settings.stop.graceSeconds * fraction * MILLISECONDS_PER_SECOND).toLong()
+
+    private fun endOpenRequests() {
+        state.pools().forEach { it.endAll() }
+        callers.refuseIncomplete()
+    }
+
     private fun stopAccepting() {
         callers.stopListening()
         closeWhenIdle()
@@ -145,8 +154,11 @@
         const val LISTEN_AFTER_STOP_MILLISECONDS = 2_500L
         const val IDLE_CHECK_MILLISECONDS = 50L
 
-        /** Fraction of the grace time after which requests that still run are abandoned. */
-        const val GRACE_FRACTION = 0.93
+        /** Fraction of the grace time after which requests that still run are ended. */
+        const val SERVICE_FRACTION = 0.93
+
+        /** Fraction of the grace time after which the process ends; the answers to ended requests are sent by then. */
+        const val EXIT_FRACTION = 0.97
         const val MILLISECONDS_PER_SECOND = 1_000
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -56,6 +56,11 @@
         if (isExpired || (isStopping && isUnused)) context.close()
     }
 
+    /** Refuses the request that is being read, if there is one. */
+    fun refuseIncomplete() {
+        if (head != null) refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
+    }
+
     override fun channelRead(handlerContext: ChannelHandlerContext, message: Any) {
         if (activeReply != null || isClosing) {
             if (isClosing) ReferenceCountUtil.release(message) else postpone(message as HttpObject)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
@@ -67,6 +67,9 @@
         connections.toList().forEach { it.closeIfIdle(isStopping = true) }
     }
 
+    /** Refuses the requests that are not read completely. */
+    fun refuseIncomplete() = connections.toList().forEach { it.refuseIncomplete() }
+
     private companion object {
         /** Connections waiting to be accepted. If the queue is full, callers retry only after seconds. */
         const val BACKLOG = 1_024
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -44,14 +44,14 @@
     private val bufferedBodies = ByteBudget(settings.maximumBodyBytes)
     private val repeated = RepeatedRequests()
 
-    override var isStopping: Boolean = false
+    override val isStopping: Boolean get() = state.stop.isStopping
 
     override val limits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
 
     override fun canBuffer(bytes: Int): Boolean = bufferedBodies.hasCapacityFor(bytes.toLong())
 
     override fun accept(request: CallerRequest, responder: CallerResponder): CallerRequestListener? =
-        if (isConfigurationUsable()) {
+        if (isConfigurationUsable() || isStopOver()) {
             admit(request, responder)
         } else {
             PendingRequest(request, responder).also { awaitConfiguration(it) }
@@ -68,6 +68,8 @@
 
     private fun isConfigurationUsable() = state.configuration != null && state.freshness.allowsKeyedRequests()
 
+    private fun isStopOver() = state.stop.isOverAt(context.clock.monotonicMilliseconds())
+
     /**
      * Holds a request until the configuration is usable, for at most [CONFIGURATION_WAIT_MILLISECONDS]. After a start
      * or a pause of the process, a reachable store confirms the configuration within milliseconds.
@@ -76,7 +78,7 @@
         val waited = context.clock.monotonicMilliseconds() - pending.request.receivedAt
         when {
             pending.isCallerGone -> pending.request.body.release()
-            isConfigurationUsable() || waited >= CONFIGURATION_WAIT_MILLISECONDS ->
+            isConfigurationUsable() || isStopOver() || waited >= CONFIGURATION_WAIT_MILLISECONDS ->
                 pending.listener = admit(pending.request, pending.responder)
             else -> context.loop.schedule(
                 { awaitConfiguration(pending) },
@@ -129,6 +131,7 @@
     }
 
     private fun planRequest(request: CallerRequest): Either<Refusal, RequestPlan> = either {
+        ensure(!isStopOver()) { Refusal.unavailable(ActiveRequest.STOPPING) }
         val configuration = ensureNotNull(state.configuration) { Refusal.unavailable("no-configuration") }
         val id =
             ensureNotNull(request.headers.get(headers.requestId)) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -16,6 +16,7 @@
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.PlannedStop
 import org.guavahatch.scheduling.direct.QuotaTolerance
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
@@ -61,6 +62,9 @@
     /** Latest reports of the other gateways. */
     val peers: PeerTable = PeerTable(clock, PEER_TIMEOUT_MILLISECONDS)
 
+    /** The planned stop of this process. */
+    val stop: PlannedStop = PlannedStop()
+
     /** Prompt parts that end endpoints. */
     val quarantine: QuarantineControl = QuarantineControl(loop, clock, log).also { control ->
         control.onHeldBack = { pools.values.forEach { it.endQuarantined() } }
@@ -214,7 +218,7 @@
         )
         val chooser = EarliestFirstTokenChooser(random, settings.zone)
         val allowance = RetryAllowance(clock, limit)
-        val pool = PoolDispatcher(name, loop, clock, chooser, SlotShares(random), allowance, peers, connector)
+        val pool = PoolDispatcher(name, loop, clock, chooser, SlotShares(random), allowance, peers, connector, stop)
         pool.onChange = { listeners.forEach { it() } }
         return pool
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -126,6 +126,13 @@
         refuse(QUARANTINED, hold)
     }
 
+    /** Ends the request because the process stops: it is refused if it has not run, and answered with a failure if it may have. */
+    internal fun endForStop() {
+        if (completion.isCompleted) return
+        cancelAttempt()
+        refuse(STOPPING, RETRY_AFTER_MILLISECONDS)
+    }
+
     /** The endpoint failed; [fallback] forwards its error response to the caller, if it sent one. */
     internal fun onFailed(endpoint: EndpointState, reason: String, fallback: (() -> Unit)? = null) {
         endpoint.recordFailure(context.clock.monotonicMilliseconds(), isUnreachable = false)
@@ -162,6 +169,9 @@
         return true
     }
 
+    /** An endpoint has answered the request [milliseconds] after it was sent there. */
+    internal fun onAnswered(milliseconds: Long) = dispatcher.recordCompletion(plan, milliseconds)
+
     /** The stream of the endpoint has ended; [trailer] holds comments after its last event. */
     internal fun onStreamComplete(endpoint: EndpointState, response: HttpResponse, trailer: ByteBuf) {
         endpoint.recordSuccess()
@@ -262,6 +272,9 @@
         /** Outcome of a request whose prompt is in quarantine. */
         const val QUARANTINED = "quarantined"
 
+        /** Outcome of a request that a planned stop has ended. */
+        const val STOPPING = "stopping"
+
         /** Lets a refusal reach the caller before it disconnects. */
         private const val RESPONSE_MARGIN_MILLISECONDS = 50L
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -204,6 +204,7 @@
         if (isNotRun) return request.onRejected(endpoint, status)
         if (status == HttpResponseStatus.OK) {
             noteAnswering()
+            request.onAnswered(elapsed())
             if (plan.waiting.promptTokens == 0L) endpoint.recordPace(elapsed().toDouble())
         }
         request.onResponse(endpoint, head, bufferedBody)
@@ -215,7 +216,10 @@
         if (splitter.isInsideEvent || isEmpty) return onFailure("the stream ended inside an event or without one")
         finish()
         noteAnswering()
-        if (!isResumed) plan.waiting.estimatedTokens?.let { endpoint.recordLength(it, events) }
+        if (!isResumed) {
+            request.onAnswered(elapsed())
+            plan.waiting.estimatedTokens?.let { endpoint.recordLength(it, events) }
+        }
         request.onStreamComplete(endpoint, head, splitter.takeRemainder())
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -5,11 +5,13 @@
 import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
+import org.guavahatch.scheduling.direct.CompletionForecast
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.FirstEventForecast
 import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.PlannedStop
 import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.QueueForecast
 import org.guavahatch.scheduling.direct.RetryAllowance
@@ -29,9 +31,11 @@
     private val allowance: RetryAllowance,
     private val peers: PeerTable,
     private val connector: EndpointConnector,
+    private val stop: PlannedStop,
 ) {
     private val queue = WaitingQueue()
     private val forecast = QueueForecast()
+    private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
@@ -99,6 +103,13 @@
         open.remove(active)
     }
 
+    /** Records that [plan] was answered [milliseconds] after its send. */
+    fun recordCompletion(plan: RequestPlan, milliseconds: Long) =
+        completions.record(plan.route.name, plan.waiting.outputTokens, milliseconds)
+
+    /** Ends all requests, because the process stops. */
+    fun endAll() = open.toList().forEach { it.endForStop() }
+
     /** Ends the requests that are in quarantine now. */
     fun endQuarantined() = open.toList().forEach { it.endIfQuarantined() }
 
@@ -189,7 +200,7 @@
         val free = endpoints.values.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
         val (request, endpoint) = queue.candidates(now)
-            .filter { activeRequests[it.sequence]?.maySendAt(now) == true }
+            .filter { activeRequests[it.sequence]?.let { active -> maySend(active, now) } == true }
             .takeWhile { reserve.mayUse(free, slots, it.order) }
             .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
             ?: return false
@@ -197,6 +208,16 @@
         return true
     }
 
+    private fun maySend(active: ActiveRequest, now: Long) = active.maySendAt(now) && !isTooLateForStop(active, now)
+
+    /** Whether [active] is not expected to end before a planned stop does. A response that has begun goes on. */
+    private fun isTooLateForStop(active: ActiveRequest, now: Long): Boolean {
+        if (!stop.isStopping || active.isContinuation) return false
+        val route = active.plan.route
+        val expected = completions.expected(route.name, active.plan.waiting.outputTokens)
+        return !stop.allowsSendAt(now, expected ?: (route.timeoutMilliseconds / UNKNOWN_TIMEOUT_DIVISOR))
+    }
+
     private fun send(request: WaitingRequest, endpoint: EndpointState, now: Long) {
         queue.remove(request)
         forecast.recordDispatch(now, hasMoreWaiting = queue.size > 0)
@@ -206,6 +227,13 @@
     private fun refuseWithdrawnKeys() = activeRequests.values.filter { it.isKeyWithdrawn }
         .forEach { it.refuse("key-withdrawn", MINIMUM_RETRY_AFTER_MILLISECONDS) }
 
+    private fun refuseTooLateForStop() {
+        if (!stop.isStopping) return
+        val now = clock.monotonicMilliseconds()
+        activeRequests.values.filter { isTooLateForStop(it, now) }
+            .forEach { it.refuse(ActiveRequest.STOPPING, MINIMUM_RETRY_AFTER_MILLISECONDS) }
+    }
+
     /** Refuses the requests that, with the queue as it is, would not be sent in time. */
     private fun shedLateRequests() {
         val now = clock.monotonicMilliseconds()
@@ -234,6 +262,7 @@
             {
                 isRecheckScheduled = false
                 refuseWithdrawnKeys()
+                refuseTooLateForStop()
                 onPeerReports()
                 shedLateRequests()
             },
@@ -247,6 +276,9 @@
         const val SPARE_CAPACITY_DIVISOR = 4
         const val RETRY_AFTER_DIVISOR = 3
 
+        /** A request of a route without recent answers is assumed to take half of the route's timeout. */
+        const val UNKNOWN_TIMEOUT_DIVISOR = 2
+
         /** Approximate time in which a full pool frees capacity. */
         const val MINIMUM_RETRY_AFTER_MILLISECONDS = 200L
     }
