--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayHeaders.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayHeaders.kt
@@ -14,6 +14,7 @@
  * @property notRun present in the response of an endpoint that has not run the request
  * @property endpointLoad in the response of an endpoint: running requests, waiting requests, slots and more,
  * comma-separated
+ * @property endpointLeaving in the response of an endpoint: 1 if the endpoint is leaving and wants no new requests
  * @property lastEventId id of the last event that the receiver of a stream has received
  * @property reserved headers that callers must not set; the gateway removes them
  */
@@ -28,6 +29,7 @@
     val promptParts: String,
     val notRun: String,
     val endpointLoad: String,
+    val endpointLeaving: String,
     val lastEventId: String,
     val reserved: Set<String>,
 )
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -130,10 +130,22 @@
         if (isEnded) return
         this.response = response
         reportedRequests(response)?.let { endpoint.recordReportedRequests(it, context.clock.monotonicMilliseconds()) }
+        noteWishes(response)
         val isEvents = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty().startsWith("text/event-stream")
         isStream = isEvents && response.status() == HttpResponseStatus.OK
     }
 
+    /** Notes that the endpoint is leaving. */
+    private fun noteWishes(response: HttpResponse) {
+        // Another process answers with 421 at the endpoint's address.
+        if (response.status() == HttpResponseStatus.MISDIRECTED_REQUEST) return
+        val isLeaving = response.headers().get(context.headers.endpointLeaving)?.trim() == LEAVING
+        if (isLeaving && !endpoint.hasAnnouncedLeaving) {
+            endpoint.recordLeaving()
+            context.log.write("endpoint.leaving", plan) { put("endpoint", endpoint.listed.id) }
+        }
+    }
+
     /** Requests running and waiting at the endpoint according to [response], or null if it reports none. */
     private fun reportedRequests(response: HttpResponse): Int? {
         val figures = response.headers().get(context.headers.endpointLoad)?.split(',') ?: return null
@@ -273,6 +285,9 @@
     private companion object {
         const val INITIAL_BUFFER_BYTES = 256
 
+        /** Value of the header by which an endpoint says that it is leaving. */
+        const val LEAVING = "1"
+
         /** Time after the first event for which an endpoint that a request ends may still send events. */
         const val ANSWERING_MILLISECONDS = 250L
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -130,7 +130,6 @@
             existing.listed.address == listed.address
         val state = if (isSameProcess) existing!! else newState(listed)
         state.listed = listed
-        state.isClosed = listed.isLeaving
         endpoints[listed.id] = state
         dispatchWaiting()
     }
@@ -153,7 +152,7 @@
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
         val state = endpoints.remove(id) ?: return
-        state.isClosed = true
+        state.isRemoved = true
         connector.closeIdle(state.listed.address)
     }
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -30,8 +30,15 @@
     public var fullUntil: Long = 0
         private set
 
+    /** Whether the endpoint has said in a response that it is leaving; its process will not accept requests again. */
+    public var hasAnnouncedLeaving: Boolean = false
+        private set
+
+    /** Whether the endpoint is gone from the list of endpoints. */
+    public var isRemoved: Boolean = false
+
     /** Whether the endpoint is leaving or gone and accepts no new requests. */
-    public var isClosed: Boolean = false
+    public val isClosed: Boolean get() = isRemoved || listed.isLeaving || hasAnnouncedLeaving
 
     private val pace = MovingAverage(PACE_WEIGHT)
     private val sustainedPace = MovingAverage(SUSTAINED_PACE_WEIGHT)
@@ -156,6 +163,11 @@
         fullUntil = now + FULL_SUSPENSION_MILLISECONDS
     }
 
+    /** Records that the endpoint said in a response that it is leaving. */
+    public fun recordLeaving() {
+        hasAnnouncedLeaving = true
+    }
+
     private companion object {
         const val PACE_WEIGHT = 0.1
 
