--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -10,6 +10,7 @@
 import org.guavahatch.gateway.endpoint.EndpointConnection
 import org.guavahatch.gateway.endpoint.EndpointResponseListener
 import org.guavahatch.gateway.endpoint.EndpointUnreachable
+import org.guavahatch.gateway.endpoint.RetryAfterHeader
 import org.guavahatch.model.configuration.DispatchRule
 import org.guavahatch.scheduling.direct.EndpointState
 import java.util.concurrent.TimeUnit
@@ -135,7 +136,7 @@
         isStream = isEvents && response.status() == HttpResponseStatus.OK
     }
 
-    /** Notes that the endpoint is leaving. */
+    /** Notes that the endpoint is leaving, or that it wants no requests for some time. */
     private fun noteWishes(response: HttpResponse) {
         // Another process answers with 421 at the endpoint's address.
         if (response.status() == HttpResponseStatus.MISDIRECTED_REQUEST) return
@@ -144,6 +145,13 @@
             endpoint.recordLeaving()
             context.log.write("endpoint.leaving", plan) { put("endpoint", endpoint.listed.id) }
         }
+        if (response.status() != HttpResponseStatus.SERVICE_UNAVAILABLE) return
+        val pause = RetryAfterHeader.delayMilliseconds(response.headers().get(HttpHeaderNames.RETRY_AFTER)) ?: return
+        endpoint.recordPause(context.clock.monotonicMilliseconds(), pause)
+        context.log.write("endpoint.paused", plan) {
+            put("endpoint", endpoint.listed.id)
+            put("milliseconds", pause)
+        }
     }
 
     /** Requests running and waiting at the endpoint according to [response], or null if it reports none. */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -236,10 +236,13 @@
     /** Refuses the requests that, with the queue as it is, would not be sent in time. */
     private fun shedLateRequests() {
         val now = clock.monotonicMilliseconds()
+        val pause = pauseOfAllEndpoints(now)
         var ahead = 0
         queue.inDispatchOrder(now).forEach { request ->
             val active = activeRequests[request.sequence]
-            if (active == null || active.isContinuation || forecast.canDispatchInTime(request, ahead, now)) {
+            if (active != null && !active.isContinuation && now + pause >= request.patienceEndsAt) {
+                active.refuse("endpoints-paused", retryAfter(request, pause, now))
+            } else if (active == null || active.isContinuation || forecast.canDispatchInTime(request, ahead, now)) {
                 ahead++
             } else {
                 active.refuse("overload", retryAfter(request, forecast.expectedWait(ahead, now), now))
@@ -247,6 +250,10 @@
         }
     }
 
+    /** Milliseconds until the first endpoint accepts requests again, or 0 if one of them has not asked for a pause. */
+    private fun pauseOfAllEndpoints(now: Long): Long =
+        endpoints.values.filter { !it.isClosed }.minOfOrNull { maxOf(0, it.pausedUntil - now) } ?: 0
+
     /** Retry-After advice; callers follow it for up to a third of their remaining time. */
     private fun retryAfter(request: WaitingRequest, wait: Long, now: Long): Long {
         val longest = (request.deadline - now) / RETRY_AFTER_DIVISOR
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -30,6 +30,10 @@
     public var fullUntil: Long = 0
         private set
 
+    /** Monotonic time until which the endpoint wants no requests, as it said when it refused one. */
+    public var pausedUntil: Long = 0
+        private set
+
     /** Whether the endpoint has said in a response that it is leaving; its process will not accept requests again. */
     public var hasAnnouncedLeaving: Boolean = false
         private set
@@ -67,7 +71,7 @@
     public fun freeSlotsAt(now: Long): Int = maxOf(0, listed.slots - requestsAt(now))
 
     /** Whether the endpoint can be sent requests at [now], provided that it has a free slot. */
-    public fun isUsableAt(now: Long): Boolean = !isClosed && suspendedUntil <= now && fullUntil <= now
+    public fun isUsableAt(now: Long): Boolean = !isClosed && suspendedUntil <= now && fullUntil <= now && pausedUntil <= now
 
     /** Records that the endpoint reported [reported] requests at [now], including those of silent gateways. */
     public fun recordReportedRequests(reported: Int, now: Long) {
@@ -168,6 +172,11 @@
         hasAnnouncedLeaving = true
     }
 
+    /** Records that the endpoint said at [now] that it wants no requests for [milliseconds]. */
+    public fun recordPause(now: Long, milliseconds: Long) {
+        pausedUntil = maxOf(pausedUntil, now + milliseconds)
+    }
+
     private companion object {
         const val PACE_WEIGHT = 0.1
 
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/EndpointChooserTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/EndpointChooserTest.kt
@@ -44,6 +44,7 @@
         Case("not one that is leaving", "b") { a, _ -> a.listed = a.listed.copy(isLeaving = true) },
         Case("not one that has announced that it leaves", "b") { a, _ -> a.recordLeaving() },
         Case("not one that is gone", "b") { a, _ -> a.isRemoved = true },
+        Case("not one that wants no requests for now", "b") { a, _ -> a.recordPause(0, 1_000) },
         Case("not one that has just refused a request", "b") { a, _ -> a.recordFull(0) },
         Case("not one whose address is taken by another process", "b", now = 999) { a, _ -> a.recordReplaced(0) },
         Case("not one that cannot be reached", "b", now = 150) { a, _ -> a.recordFailure(0, isUnreachable = true) },
