--- a/gateway/src/test/kotlin/org/guavahatch/gateway/request/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/org/guavahatch/gateway/request/EventSplitterTest.kt
@@ -17,7 +17,11 @@
         Case("comments after the last event", "id: 1\n\n: a\n\n: b", listOf("id: 1\n\n"), ": a\n\n: b"),
         Case("an incomplete line", "id: 1\n\nid: 2\ndata", listOf("id: 1\n\n"), "id: 2\ndata"),
         Case("a carriage return within a line", "data: a\rb\n\r\n", listOf("data: a\rb\n\r\n")),
-        Case("several lines", "id: 3\ndata: a\ndata: b\n\nid: 4\n\n", listOf("id: 3\ndata: a\ndata: b\n\n", "id: 4\n\n")),
+        Case(
+            "several lines",
+            "id: 3\ndata: a\ndata: b\n\nid: 4\n\n",
+            listOf("id: 3\ndata: a\ndata: b\n\n", "id: 4\n\n"),
+        ),
     )
 
     // Guards against state of an incomplete event that is lost or kept too long between two parts of a stream.
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -71,7 +71,8 @@
     public fun freeSlotsAt(now: Long): Int = maxOf(0, listed.slots - requestsAt(now))
 
     /** Whether the endpoint can be sent requests at [now], provided that it has a free slot. */
-    public fun isUsableAt(now: Long): Boolean = !isClosed && suspendedUntil <= now && fullUntil <= now && pausedUntil <= now
+    public fun isUsableAt(now: Long): Boolean =
+        !isClosed && suspendedUntil <= now && fullUntil <= now && pausedUntil <= now
 
     /** Records that the endpoint reported [reported] requests at [now], including those of silent gateways. */
     public fun recordReportedRequests(reported: Int, now: Long) {
