--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -34,6 +34,9 @@
     private var body: ByteBuf = Unpooled.EMPTY_BUFFER
     private var activeReply: Reply? = null
     private var isClosing = false
+
+    /** Whether the last response is complete and not written to the connection yet. */
+    private var isWriting = false
     private var hasReadRequest = false
     private var idleSince = clock.monotonicMilliseconds()
 
@@ -43,10 +46,10 @@
 
     /**
      * Closes the connection if it has been idle for too long. If [isStopping], closes it at once if it is idle between
-     * requests; a new connection gets some time for its first request.
+     * requests; a new connection gets some time for its first request, and a slow caller for the end of its response.
      */
     fun closeIfIdle(isStopping: Boolean) {
-        if (activeReply != null) return
+        if (activeReply != null || (isStopping && isWriting)) return
         val limits = acceptor.limits
         val limit = if (head != null) limits.headerTimeoutMilliseconds else limits.idleTimeoutMilliseconds
         val idle = clock.monotonicMilliseconds() - idleSince
@@ -236,7 +239,8 @@
         }
 
         private fun send(message: Any, isKeptOpen: Boolean) {
-            val future = context.writeAndFlush(message)
+            isWriting = true
+            val future = context.writeAndFlush(message).addListener { isWriting = false }
             if (!isKeptOpen) future.addListener(ChannelFutureListener.CLOSE)
             if (activeReply === this) finish(this, isKeptOpen)
         }
