--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -188,8 +188,11 @@
     private fun dispatchWaiting() {
         if (isDispatching) return
         isDispatching = true
-        while (dispatchNext()) onChange()
-        isDispatching = false
+        try {
+            while (dispatchNext()) onChange()
+        } finally {
+            isDispatching = false
+        }
         if (queue.size > 0) scheduleRecheck()
     }
 
