--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -243,7 +243,7 @@
         var ahead = 0
         queue.inDispatchOrder(now).forEach { request ->
             val active = activeRequests[request.sequence]
-            if (active != null && !active.isContinuation && now + pause >= request.patienceEndsAt) {
+            if (active != null && !active.isContinuation && pause > 0 && now + pause >= request.patienceEndsAt) {
                 active.refuse("endpoints-paused", retryAfter(request, pause, now))
             } else if (active == null || active.isContinuation || forecast.canDispatchInTime(request, ahead, now)) {
                 ahead++
