--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointInput.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointInput.kt
@@ -8,8 +8,8 @@
  * Tells whether an endpoint has ended its side of a connection in order (TCP FIN), which ends a response without a
  * length (RFC 9112, section 6.3). A reset, a failed write, a timeout and a close of our own do not.
  *
- * Needs `ChannelOption.ALLOW_HALF_CLOSURE`, and must precede the decoder in the pipeline: the decoder reports the end of
- * a response for any end of the connection.
+ * Needs `ChannelOption.ALLOW_HALF_CLOSURE`, and must precede the decoder in the pipeline: the decoder reports the end
+ * of a response for any end of the connection.
  */
 internal class EndpointInput : ChannelInboundHandlerAdapter() {
     private var hasFailed = false
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -126,7 +126,7 @@
         refuse(QUARANTINED, hold)
     }
 
-    /** Ends the request because the process stops: it is refused if it has not run, and answered with a failure if it may have. */
+    /** Ends the request because the process stops. */
     internal fun endForStop() {
         if (completion.isCompleted) return
         cancelAttempt()
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/EventSplitter.kt
@@ -13,7 +13,7 @@
  * Each byte is searched once and copied at most twice, however the stream is divided into parts.
  */
 class EventSplitter {
-    /** The start of an incomplete event. Events that were passed on share the memory of earlier buffers, not of this. */
+    /** The start of an incomplete event; events that were passed on never share its memory. */
     private var remainder: ByteBuf = Unpooled.EMPTY_BUFFER
 
     /** Bytes of the incomplete event up to its current line. */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -243,12 +243,12 @@
         var ahead = 0
         queue.inDispatchOrder(now).forEach { request ->
             val active = activeRequests[request.sequence]
-            if (active != null && !active.isContinuation && pause > 0 && now + pause >= request.patienceEndsAt) {
-                active.refuse("endpoints-paused", retryAfter(request, pause, now))
-            } else if (active == null || active.isContinuation || forecast.canDispatchInTime(request, ahead, now)) {
-                ahead++
-            } else {
-                active.refuse("overload", retryAfter(request, forecast.expectedWait(ahead, now), now))
+            when {
+                active == null || active.isContinuation -> ahead++
+                pause > 0 && now + pause >= request.patienceEndsAt ->
+                    active.refuse("endpoints-paused", retryAfter(request, pause, now))
+                forecast.canDispatchInTime(request, ahead, now) -> ahead++
+                else -> active.refuse("overload", retryAfter(request, forecast.expectedWait(ahead, now), now))
             }
         }
     }
