--- a/cli/src/test/kotlin/org/guavahatch/cli/process/GatewayLauncher.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/GatewayLauncher.kt
@@ -6,7 +6,11 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** Starts a gateway with [settings] as a separate process. Its settings file and log are in [folder]. */
+/**
+ * Starts a gateway with [settings] as a separate process. Its settings file and log are in [folder].
+ *
+ * `-Dgateway.jar=FILE` starts the gateway of that jar, for example of an earlier commit, instead of the code under test.
+ */
 internal class GatewayLauncher(private val settings: GatewaySettings, folder: Path) {
     private val file = folder.resolve("${settings.name}.jsonc")
     val log: Path = folder.resolve("${settings.name}.log")
@@ -19,6 +23,11 @@
         val arguments = listOf("gateway", "--settings", file.toString())
         // On the class path of the tests, the log settings of the command line take precedence and omit decisions.
         val options = ManagedProcess.SMALL_JVM_OPTIONS + "-Dtinylog.level=info"
-        return ManagedProcess.start(settings.name, log, "org.guavahatch.daemon.MainKt", arguments, options)
+        val classPath = System.getProperty("gateway.jar") ?: System.getProperty("java.class.path")
+        return ManagedProcess.start(settings.name, log, MAIN_CLASS, arguments, options, classPath)
+    }
+
+    private companion object {
+        const val MAIN_CLASS = "org.guavahatch.daemon.MainKt"
     }
 }
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
@@ -71,17 +71,17 @@
         /** JVM options for measurements. */
         internal val MEASUREMENT_JVM_OPTIONS = listOf("-Xmx256m", "-XX:+UseSerialGC", "-Xshare:auto")
 
-        /** Starts a JVM with [mainClass] on the class path of this process; its output is appended to [log]. */
+        /** Starts a JVM with [mainClass] on [classPath], by default that of this process; appends its output to [log]. */
         fun start(
             name: String,
             log: Path,
             mainClass: String,
             arguments: List<String>,
             options: List<String> = SMALL_JVM_OPTIONS,
+            classPath: String = System.getProperty("java.class.path"),
         ): ManagedProcess {
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-            val classPath = listOf("-cp", System.getProperty("java.class.path"))
-            val command = listOf(java) + options + classPath + mainClass + arguments
+            val command = listOf(java) + options + "-cp" + classPath + mainClass + arguments
             val output = ProcessBuilder.Redirect.appendTo(log.toFile())
             val process = ProcessBuilder(command).redirectErrorStream(true).redirectOutput(output).start()
             return ManagedProcess(name, process)
