--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -19,6 +19,9 @@
     /** The status line and headers of the response. */
     fun onHead(response: HttpResponse)
 
+    /** The status line and headers of a response that is skipped, as it has another request id or none. */
+    fun onSkipped(response: HttpResponse)
+
     /** A part of the body. */
     fun onData(data: ByteBuf)
 
@@ -34,9 +37,12 @@
  *
  * A response without the id of the request sent last belongs to an earlier request and is skipped. Bytes received while
  * no request is outstanding close the connection.
+ *
+ * @property number number of the connection within this process, for logs
  */
 class EndpointConnection internal constructor(
     val channel: Channel,
+    val number: Long,
     private val requestIdHeader: String,
     private val pool: IdleConnections,
     private val progressLimit: ProgressLimit,
@@ -51,6 +57,10 @@
     private var closesAfterResponse = false
     private var failureReason = "closed by the endpoint"
 
+    /** Number of requests sent on the connection. */
+    var requests = 0
+        private set
+
     /** Keep-alive timeout in milliseconds that the endpoint announced, or null if it announced none. */
     var keepAliveMilliseconds: Long? = null
         private set
@@ -59,6 +69,7 @@
     fun send(request: FullHttpRequest, id: String, responseListener: EndpointResponseListener) {
         listener = responseListener
         requestId = id
+        requests++
         isBodyWritten = false
         isReadingResponse = false
         progressLimit.noteProgress()
@@ -100,7 +111,10 @@
             return
         }
         isSkippingResponse = response.headers().get(requestIdHeader) != requestId
-        if (isSkippingResponse) return
+        if (isSkippingResponse) {
+            listener?.onSkipped(response)
+            return
+        }
         isReadingResponse = true
         progressLimit.noteProgress()
         isSelfDelimited = isSelfDelimited(response)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -26,6 +26,7 @@
     private val requestIdHeader: String,
     private val maximumBytesWithoutProgress: Long,
 ) {
+    private var opened = 0L
     private val idleByAddress = HashMap<String, IdleConnections>()
     private val bootstrap = Bootstrap()
         .group(loop)
@@ -63,7 +64,7 @@
             val pipeline = channelFuture.channel().pipeline()
             val limit = pipeline.get(ProgressLimit::class.java)
             val input = pipeline.get(EndpointInput::class.java)
-            val connection = EndpointConnection(channelFuture.channel(), requestIdHeader, idle, limit, input)
+            val connection = EndpointConnection(channelFuture.channel(), ++opened, requestIdHeader, idle, limit, input)
             pipeline.addLast(connection)
             use(connection.right())
         }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -13,6 +13,7 @@
     private val ended = HashMap<String, Counter>()
     private val sends = HashMap<String, Counter>()
     private val lost = HashMap<String, Counter>()
+    private val skipped = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
 
     /** Returns the current values in the Prometheus text format. */
@@ -33,6 +34,11 @@
         Counter.builder("guavahatch.gateway.requests.lost").tag("pool", pool).register(registry)
     }.increment()
 
+    /** Counts a response of an endpoint of [pool] that was skipped, as it belongs to no request under way. */
+    fun countSkipped(pool: String) = skipped.getOrPut(pool) {
+        Counter.builder("guavahatch.gateway.responses.skipped").tag("pool", pool).register(registry)
+    }.increment()
+
     /** Records the duration of [step] (queue, first-event, total) of a request of [rank]. */
     fun recordDuration(step: String, rank: Int, milliseconds: Long) = timers.getOrPut("$step $rank") {
         Timer.builder("guavahatch.gateway.duration")
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -71,10 +71,12 @@
         if (history.mayTryAnotherEndpoint) requeue() else refuse("unreachable", RETRY_AFTER_MILLISECONDS)
     }
 
-    internal fun onSent() = history.recordSent()
+    /** Counts a send of the request and returns its number. */
+    internal fun onSent(): Int = history.recordSent()
 
     /** The endpoint reported that it has not run the request. */
     internal fun onRejected(endpoint: EndpointState, status: HttpResponseStatus) {
+        val trace = attempt?.trace
         history.recordRejected()
         releaseEndpoint(endpoint)
         val now = context.clock.monotonicMilliseconds()
@@ -84,6 +86,7 @@
             put("endpoint", endpoint.listed.id)
             put("status", status.code())
             put("retried", isRetried)
+            putTrace(trace, now)
         }
         if (isRetried) requeue() else refuse("rejected", RETRY_AFTER_MILLISECONDS)
     }
@@ -95,6 +98,7 @@
             put("reason", reason)
             put("events", lost.events)
             put("milliseconds", lost.milliseconds)
+            putTrace(attempt?.trace, context.clock.monotonicMilliseconds())
             put("own-requests", endpoint.ownRequests)
             put("peer-requests", endpoint.peerRequests)
             put("prefill-tokens", endpoint.prefillTokens)
@@ -135,7 +139,9 @@
 
     /** The endpoint failed; [fallback] forwards its error response to the caller, if it sent one. */
     internal fun onFailed(endpoint: EndpointState, reason: String, fallback: (() -> Unit)? = null) {
-        endpoint.recordFailure(context.clock.monotonicMilliseconds(), isUnreachable = false)
+        val trace = attempt?.trace
+        val now = context.clock.monotonicMilliseconds()
+        endpoint.recordFailure(now, isUnreachable = false)
         releaseEndpoint(endpoint)
         val isRetried = acquireRepeat()
         context.log.write("endpoint.failed", plan) {
@@ -143,6 +149,7 @@
             put("reason", reason)
             put("retried", isRetried)
             put("possible-runs", history.possibleRuns)
+            putTrace(trace, now)
         }
         when {
             isRetried -> requeue()
@@ -199,12 +206,15 @@
     internal fun acquireRepeat(): Boolean = history.canRepeat && dispatcher.acquireRetry()
 
     internal fun onStalled(endpoint: EndpointState, reason: String) {
-        endpoint.recordFailure(context.clock.monotonicMilliseconds(), isUnreachable = false)
+        val trace = attempt?.trace
+        val now = context.clock.monotonicMilliseconds()
+        endpoint.recordFailure(now, isUnreachable = false)
         releaseEndpoint(endpoint)
         context.log.write("request.moved", plan) {
             put("endpoint", endpoint.listed.id)
             put("reason", reason)
             put("possible-runs", history.possibleRuns)
+            putTrace(trace, now)
         }
         requeue()
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -41,6 +41,10 @@
     private var bufferedBody: ByteBuf = Unpooled.EMPTY_BUFFER
     private var bufferedBytes = 0L
 
+    /** The send of the request, or null while it is connecting. */
+    var trace: AttemptTrace? = null
+        private set
+
     /** Connects to the endpoint and sends the request. */
     fun start(lastEventId: Long?, isRetry: Boolean) {
         endpoint.recordSent(pendingPrefillTokens)
@@ -76,7 +80,8 @@
         val now = context.clock.monotonicMilliseconds()
         val budget = maxOf(1L, plan.waiting.deadline - now)
         val message = context.messages.request(plan, endpoint.listed.id, budget, lastEventId)
-        request.onSent()
+        val sent = AttemptTrace(request.onSent(), opened.number, now)
+        trace = sent
         val kind = if (lastEventId != null) {
             "resume"
         } else if (isRetry) {
@@ -88,7 +93,11 @@
         context.metrics.recordDuration("queue", plan.waiting.rank, now - plan.waiting.arrivedAt)
         context.log.write("request.sent", plan) {
             put("endpoint", endpoint.listed.id)
+            put("address", endpoint.listed.address)
             put("kind", kind)
+            put("send", sent.send)
+            put("connection", sent.connection)
+            put("connection-requests", opened.requests)
             put("waited", now - plan.waiting.arrivedAt)
             put("budget", budget)
             put("configuration", plan.configurationVersion)
@@ -136,6 +145,16 @@
         isStream = isEvents && response.status() == HttpResponseStatus.OK
     }
 
+    override fun onSkipped(response: HttpResponse) {
+        context.metrics.countSkipped(plan.pool)
+        context.log.write("response.skipped", plan) {
+            put("endpoint", endpoint.listed.id)
+            put("status", response.status().code())
+            put("received-request", response.headers().get(context.headers.requestId).orEmpty())
+            putTrace(trace, context.clock.monotonicMilliseconds())
+        }
+    }
+
     /** Notes that the endpoint is leaving, or that it wants no requests for some time. */
     private fun noteWishes(response: HttpResponse) {
         // Another process answers with 421 at the endpoint's address.
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SendHistory.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SendHistory.kt
@@ -9,6 +9,8 @@
  * @property maximumAttempts maximum number of sends that an endpoint may have run
  */
 public class SendHistory(private val rule: DispatchRule, private val maximumAttempts: Int) {
+    private var sends = 0
+
     /** Number of sends that an endpoint has run or may have run. */
     public var possibleRuns: Int = 0
         private set
@@ -39,9 +41,10 @@
         (!hasAnswerBegun || rule == DispatchRule.RESUMABLE && lastEventId != null) &&
         possibleRuns < maximumAttempts
 
-    /** Records that the request was sent. */
-    public fun recordSent() {
+    /** Records that the request was sent, and returns the number of the send, from 1. */
+    public fun recordSent(): Int {
         possibleRuns++
+        return ++sends
     }
 
     /** Records that the endpoint reported that it has not run the request. */
