Send a request at most once on each connection, whichever endpoint it belongs to

Callers saw nothing: their order ran twice and was answered with 200. Cause: the id of a request is the caller's and the same for each send. An endpoint that crashed and came back at its address under another id, while its old entry was still listed, got the second send on the connection of the first. Class: an answer is taken for a send that it does not belong to. Change: the history of a request knows the connections that carried it, and none of them is taken from the idle ones again. A second send to an endpoint may now use another idle connection of it.

--- a/cli/src/test/kotlin/org/guavahatch/cli/process/RunOnceTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/RunOnceTest.kt
@@ -42,7 +42,6 @@
         }
 
     @Test
-    @Tag("known-red")
     fun `an order runs once though its endpoint came back under another id and repeats its rejection`() =
         Deployment().use { deployment ->
             lateinit var endpoint: EndpointStandIn
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -46,14 +46,16 @@
      * Passes [use] an idle or new connection to [address], or the reason why none could be opened.
      *
      * @param maximumIdleMilliseconds time for which a reused connection may have been idle, or null to open a new one
+     * @param excluded numbers of connections that are not reused
      */
     fun connect(
         address: String,
         maximumIdleMilliseconds: Long?,
+        excluded: Set<Long> = emptySet(),
         use: (Either<EndpointUnreachable, EndpointConnection>) -> Unit,
     ) {
         val idle = idleByAddress.getOrPut(address) { IdleConnections(clock) }
-        val reused = maximumIdleMilliseconds?.let(idle::take)
+        val reused = maximumIdleMilliseconds?.let { idle.take(it, excluded) }
         if (reused != null) return use(reused.right())
         bootstrap.connect(SocketAddresses.parse(address)).addListener { future ->
             val channelFuture = future as ChannelFuture
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/IdleConnections.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/IdleConnections.kt
@@ -11,12 +11,16 @@
 
     /**
      * Takes a connection that was idle for at most [maximumIdleMilliseconds] and at most half of its keep-alive
-     * timeout, or null. Connections found closed or idle for longer are closed and dropped.
+     * timeout, and whose number is not in [excluded], or null. Other connections found closed or idle for longer are
+     * closed and dropped.
      */
-    fun take(maximumIdleMilliseconds: Long): EndpointConnection? {
+    fun take(maximumIdleMilliseconds: Long, excluded: Set<Long>): EndpointConnection? {
         val now = clock.monotonicMilliseconds()
-        while (idle.isNotEmpty()) {
-            val entry = idle.removeLast()
+        val entries = idle.listIterator(idle.size)
+        while (entries.hasPrevious()) {
+            val entry = entries.previous()
+            if (entry.connection.number in excluded) continue
+            entries.remove()
             val allowed = minOf(
                 maximumIdleMilliseconds,
                 entry.connection.keepAliveMilliseconds?.div(2) ?: DEFAULT_MAXIMUM_IDLE_MILLISECONDS,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -71,8 +71,11 @@
         if (history.mayTryAnotherEndpoint) requeue() else refuse("unreachable", RETRY_AFTER_MILLISECONDS)
     }
 
-    /** Counts a send of the request and returns its number. */
-    internal fun onSent(): Int = history.recordSent()
+    /** Numbers of the connections on which the request was sent. */
+    internal val usedConnections: Set<Long> get() = history.usedConnections
+
+    /** Counts a send on the connection numbered [connection] and returns the number of the send. */
+    internal fun onSent(connection: Long): Int = history.recordSent(connection)
 
     /** The endpoint reported that it has not run the request. */
     internal fun onRejected(endpoint: EndpointState, status: HttpResponseStatus) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -11,7 +11,6 @@
 import org.guavahatch.gateway.endpoint.EndpointResponseListener
 import org.guavahatch.gateway.endpoint.EndpointUnreachable
 import org.guavahatch.gateway.endpoint.RetryAfterHeader
-import org.guavahatch.model.configuration.DispatchRule
 import org.guavahatch.scheduling.direct.EndpointState
 import java.util.concurrent.TimeUnit
 
@@ -49,7 +48,9 @@
     fun start(lastEventId: Long?, isRetry: Boolean) {
         endpoint.recordSent(pendingPrefillTokens)
         prefillTokensAtStart = endpoint.prefillTokens
-        context.connector.connect(endpoint.listed.address, maximumIdleMilliseconds()) { connected ->
+        // A late copy of the response to an earlier send has the same request id, so it must not arrive here.
+        val excluded = request.usedConnections
+        context.connector.connect(endpoint.listed.address, maximumIdleMilliseconds, excluded) { connected ->
             when (connected) {
                 is Either.Left -> onUnreachable(connected.value)
                 is Either.Right -> send(connected.value, lastEventId, isRetry)
@@ -57,15 +58,8 @@
         }
     }
 
-    /**
-     * Longest idle time of a connection to reuse, or null if the request was sent to the endpoint before: a late second
-     * copy of the earlier response has the id of this request, so it must not arrive on the same connection.
-     */
-    private fun maximumIdleMilliseconds(): Long? = when {
-        endpoint.listed.id in plan.waiting.avoidedEndpoints -> null
-        plan.route.dispatchRule == DispatchRule.AT_MOST_ONCE -> MAXIMUM_IDLE_AT_MOST_ONCE_MILLISECONDS
-        else -> MAXIMUM_IDLE_MILLISECONDS
-    }
+    private val maximumIdleMilliseconds: Long
+        get() = if (plan.route.isRepeatable) MAXIMUM_IDLE_MILLISECONDS else MAXIMUM_IDLE_AT_MOST_ONCE_MILLISECONDS
 
     private fun onUnreachable(error: EndpointUnreachable) {
         if (isEnded) return
@@ -80,7 +74,7 @@
         val now = context.clock.monotonicMilliseconds()
         val budget = maxOf(1L, plan.waiting.deadline - now)
         val message = context.messages.request(plan, endpoint.listed.id, budget, lastEventId)
-        val sent = AttemptTrace(request.onSent(), opened.number, now)
+        val sent = AttemptTrace(request.onSent(opened.number), opened.number, now)
         trace = sent
         val kind = if (lastEventId != null) {
             "resume"
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SendHistory.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SendHistory.kt
@@ -9,8 +9,12 @@
  * @property maximumAttempts maximum number of sends that an endpoint may have run
  */
 public class SendHistory(private val rule: DispatchRule, private val maximumAttempts: Int) {
+    private val connections = HashSet<Long>(EXPECTED_CONNECTIONS)
     private var sends = 0
 
+    /** Numbers of the connections on which the request was sent. */
+    public val usedConnections: Set<Long> get() = connections
+
     /** Number of sends that an endpoint has run or may have run. */
     public var possibleRuns: Int = 0
         private set
@@ -41,8 +45,9 @@
         (!hasAnswerBegun || rule == DispatchRule.RESUMABLE && lastEventId != null) &&
         possibleRuns < maximumAttempts
 
-    /** Records that the request was sent, and returns the number of the send, from 1. */
-    public fun recordSent(): Int {
+    /** Records that the request was sent on the connection numbered [connection]; returns the number of the send. */
+    public fun recordSent(connection: Long): Int {
+        connections.add(connection)
         possibleRuns++
         return ++sends
     }
@@ -70,6 +75,8 @@
     }
 
     private companion object {
+        const val EXPECTED_CONNECTIONS = 2
+
         /** With more rejections than this, the request is refused and the caller is asked to retry later. */
         const val MAXIMUM_REJECTIONS = 4
     }
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/SendHistoryTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/SendHistoryTest.kt
@@ -18,27 +18,27 @@
 
     private val cases = listOf(
         Case("unsent order", DispatchRule.AT_MOST_ONCE, canRepeat = false, isNotRun = true) {},
-        Case("sent order", DispatchRule.AT_MOST_ONCE, canRepeat = false, isNotRun = false) { recordSent() },
+        Case("sent order", DispatchRule.AT_MOST_ONCE, canRepeat = false, isNotRun = false) { recordSent(connection = 1) },
         Case("rejected order", DispatchRule.AT_MOST_ONCE, canRepeat = false, isNotRun = true) {
-            recordSent()
+            recordSent(connection = 1)
             recordRejected()
         },
-        Case("sent read", DispatchRule.REPEATABLE, canRepeat = true, isNotRun = false) { recordSent() },
+        Case("sent read", DispatchRule.REPEATABLE, canRepeat = true, isNotRun = false) { recordSent(connection = 1) },
         Case("read with the maximum number of attempts", DispatchRule.REPEATABLE, canRepeat = false, isNotRun = false) {
-            recordSent()
-            recordSent()
+            recordSent(connection = 1)
+            recordSent(connection = 1)
         },
         Case("read whose answer has begun", DispatchRule.REPEATABLE, canRepeat = false, isNotRun = false) {
-            recordSent()
+            recordSent(connection = 1)
             recordBegun()
         },
         Case("resumable stream after an event", DispatchRule.RESUMABLE, canRepeat = true, isNotRun = false) {
-            recordSent()
+            recordSent(connection = 1)
             recordBegun()
             recordEvent(1)
         },
         Case("resumable stream without ids", DispatchRule.RESUMABLE, canRepeat = false, isNotRun = false) {
-            recordSent()
+            recordSent(connection = 1)
             recordBegun()
             recordEvent(null)
         },
@@ -52,6 +52,15 @@
             assertEquals(case.isNotRun, history.isNotRun, "${case.name}: not run")
         }
 
+    @Test
+    fun `each connection that carried a request is known, also after a rejection`() {
+        val history = SendHistory(DispatchRule.AT_MOST_ONCE, maximumAttempts = 2)
+        assertEquals(1, history.recordSent(connection = 7))
+        history.recordRejected()
+        assertEquals(2, history.recordSent(connection = 9))
+        assertEquals(setOf(7L, 9L), history.usedConnections)
+    }
+
     @Test
     fun `events are not sent to the caller twice`() {
         val history = SendHistory(DispatchRule.RESUMABLE, maximumAttempts = 2)
