Reset the connection of a request that ends without a whole answer

Callers saw nothing; two endpoints worked on one stream. Cause: after bytes that are no answer or no chunk, and after the end of an endpoint's output, its connection was closed in order. An endpoint that takes this for the end of the caller's output works on, and one that only writes notices it with its second write. A stream that ended inside an event left its connection among the idle ones. In all these cases the stream went on at another endpoint. Class: an attempt is given up without its endpoint being told. Change: whatever ends a request before its whole answer resets the connection; whether the body is whole is asked before the connection is kept. Silence and the end of a caller already reset it.

--- a/cli/src/test/kotlin/org/guavahatch/cli/process/RunOnceTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/RunOnceTest.kt
@@ -4,7 +4,6 @@
 import org.guavahatch.platform.standin.EndpointReply
 import org.guavahatch.platform.standin.EndpointStandIn
 import org.guavahatch.platform.standin.GatewayClient
-import org.junit.jupiter.api.Tag
 import java.nio.file.Files
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
@@ -102,7 +101,6 @@
         }
 
     @Test
-    @Tag("known-red")
     fun `an endpoint does not work on after its stream was moved to another one`() =
         play(endpoints = 2 * failures.size, { failOrFinish(failures[request.id.toInt()]) }) { gateway ->
             val callers = failures.indices.map { thread { gateway.call("/resumable/x", "$it") } }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -16,6 +16,9 @@
 
 /** Receives the response of an endpoint to one request. The connection owns the buffers, valid during the call. */
 interface EndpointResponseListener {
+    /** Whether the body that was received so far is whole, as far as its content tells. */
+    val isBodyWhole: Boolean
+
     /** The status line and headers of the response. */
     fun onHead(response: HttpResponse)
 
@@ -38,6 +41,9 @@
  * A response without the id of the request sent last belongs to an earlier request and is skipped. Bytes received while
  * no request is outstanding close the connection.
  *
+ * A connection whose request ends without a whole response is reset: an endpoint may take an orderly end for that of the
+ * caller's output only, or notice it late, and work on.
+ *
  * @property number number of the connection within this process, for logs
  */
 class EndpointConnection internal constructor(
@@ -55,7 +61,6 @@
     private var isReadingResponse = false
     private var isSelfDelimited = false
     private var closesAfterResponse = false
-    private var failureReason = "closed by the endpoint"
 
     /** Number of requests sent on the connection. */
     var requests = 0
@@ -85,10 +90,13 @@
     /** Keeps the connection, on which nothing was sent, for reuse. */
     fun releaseUnused() = pool.release(this)
 
-    /** Aborts the current request with a TCP reset, which discards what the endpoint has not received. */
+    /**
+     * Aborts the current request with a TCP reset, which discards what was not transmitted. An endpoint can still read
+     * what its system has received, so it may run the request even later.
+     */
     fun reset() {
         listener = null
-        channel.config().setOption(ChannelOption.SO_LINGER, 0)
+        if (channel.isOpen) channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
     }
 
@@ -134,7 +142,11 @@
         if (!isReadingResponse) return
         if (content.content().isReadable) listener?.onData(content.content())
         if (!isLast) return
-        if (isSelfDelimited || input.hasEndedInOrder) complete() else abort("closed before the end of the answer")
+        when {
+            !isSelfDelimited && !input.hasEndedInOrder -> abort("closed before the end of the answer")
+            listener?.isBodyWhole == false -> abort("the stream ended inside an event or without one")
+            else -> complete()
+        }
     }
 
     private fun complete() {
@@ -147,13 +159,13 @@
     }
 
     private fun abort(reason: String) {
-        failureReason = reason
-        channel.close()
-        fail()
+        val current = listener
+        reset()
+        current?.onFailure(reason)
     }
 
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is ChannelInputShutdownEvent) channel.close()
+        if (event is ChannelInputShutdownEvent) abort(CLOSED_BY_ENDPOINT)
         context.fireUserEventTriggered(event)
     }
 
@@ -162,17 +174,12 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(this)
-        fail()
-    }
-
-    private fun fail() {
-        val current = listener ?: return
-        listener = null
-        current.onFailure(failureReason)
+        abort(CLOSED_BY_ENDPOINT)
     }
 
     companion object {
         private const val FIRST_FINAL_STATUS = 200
+        private const val CLOSED_BY_ENDPOINT = "closed by the endpoint"
 
         /** Whether the end of [response] can be told from the end of its connection. */
         fun isSelfDelimited(response: HttpResponse): Boolean = HttpUtil.isTransferEncodingChunked(response) ||
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -226,6 +226,13 @@
         context.quarantine.onAnswered(plan.parts)
     }
 
+    /** A stream that ends inside an event, or before its first one with the connection, was broken off. */
+    override val isBodyWhole: Boolean get() {
+        val head = response.takeIf { isStream } ?: return true
+        val isEmpty = events == 0 && !EndpointConnection.isSelfDelimited(head)
+        return !splitter.isInsideEvent && !isEmpty
+    }
+
     override fun onComplete() {
         if (isEnded) return
         val head = checkNotNull(response)
@@ -243,10 +250,7 @@
         request.onResponse(endpoint, head, bufferedBody)
     }
 
-    /** A stream that ends inside an event, or before its first one with the connection, was broken off. */
     private fun onStreamEnd(head: HttpResponse) {
-        val isEmpty = events == 0 && !EndpointConnection.isSelfDelimited(head)
-        if (splitter.isInsideEvent || isEmpty) return onFailure("the stream ended inside an event or without one")
         finish()
         noteAnswering()
         if (!isResumed) {
