Do not repeat a request whose route has become at-most-once

Callers would see nothing; a request that the configuration in force lets run once ran twice. Cause: whether a request may be sent again was decided by the route that it was accepted with, however long ago that was. Class: a permission that is used after it was withdrawn. Change: a request that may have run is repeated only if its route in force allows it too; if the route is gone, it ends as it began. Evidence: ChangedRouteTest failed before (a read whose route became at-most-once: 2 sends in place of 1) and passes.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -6,6 +6,7 @@
 import org.guavahatch.gateway.caller.CallerServer
 import org.guavahatch.gateway.control.Admission
 import org.guavahatch.gateway.control.ConfiguredKeys
+import org.guavahatch.gateway.control.ConfiguredRoutes
 import org.guavahatch.gateway.control.ControlResponse
 import org.guavahatch.gateway.control.ControlServer
 import org.guavahatch.gateway.control.GatewayState
@@ -57,6 +58,7 @@
             state.quarantine,
             state.ledger,
             ConfiguredKeys(state, headers.key),
+            ConfiguredRoutes(state),
             bufferedResponses,
             log,
             metrics,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -206,7 +206,8 @@
     }
 
     /** Takes a retry for a request that an endpoint may have run; false if it may not be repeated or none is left. */
-    internal fun acquireRepeat(): Boolean = history.canRepeat && dispatcher.acquireRetry()
+    internal fun acquireRepeat(): Boolean =
+        history.canRepeat && context.routes.allowRepeat(plan) && dispatcher.acquireRetry()
 
     internal fun onStalled(endpoint: EndpointState, reason: String) {
         val trace = attempt?.trace
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -22,6 +22,7 @@
  * @property quarantine requests that must not be sent because their prompts end endpoints
  * @property ledger quota use of client accounts
  * @property keys keys that may be used now
+ * @property routes routes whose requests may be repeated now
  * @property bufferedResponses budget for the bytes of incomplete responses
  * @property log decision log
  * @property metrics counters and histograms
@@ -35,6 +36,7 @@
     val quarantine: QuarantineControl,
     val ledger: AccountLedger,
     val keys: AcceptedKeys,
+    val routes: RepeatableRoutes,
     val bufferedResponses: ByteBudget,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
