Refuse requests with a transfer coding other than chunked

Callers could hide a request in the body of another one: endpoints ran both, the first without its body. Cause: the decoder takes a request with neither a length nor chunks as one without a body, also if it names another transfer coding, so the body is read as the next request (RFC 9112, section 6.3). A body that is coded beside its chunks was passed on as if it were plain. Change: 400 and the end of the connection unless the transfer coding is chunked, once and alone.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -90,7 +90,7 @@
     private fun readHead(request: HttpRequest) {
         val isAmbiguous = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
             request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-        if (isAmbiguous) return refuse(HttpResponseStatus.BAD_REQUEST)
+        if (isAmbiguous || hasUnknownCoding(request)) return refuse(HttpResponseStatus.BAD_REQUEST)
         val contentLength = HttpUtil.getContentLength(request, 0L)
         if (contentLength > acceptor.limits.maximumBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         head = request
@@ -103,6 +103,12 @@
         }
     }
 
+    /** Whether the end of the body is unknown, since it is not in chunks only (RFC 9112, section 6.3). */
+    private fun hasUnknownCoding(request: HttpRequest): Boolean {
+        val codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
+        return codings.isNotEmpty() && codings.singleOrNull()?.trim().equals(CHUNKED, ignoreCase = true).not()
+    }
+
     private fun readBody(content: HttpContent) {
         idleSince = clock.monotonicMilliseconds()
         val size = content.content().readableBytes()
@@ -250,6 +256,8 @@
         /** Time within which a caller sends its first request on a new connection. */
         const val FIRST_REQUEST_MILLISECONDS = 1_000L
 
+        const val CHUNKED = "chunked"
+
         /** Number of queued messages of pipelined requests at which reading pauses. */
         const val MAXIMUM_POSTPONED_MESSAGES = 32
     }
