Sidecars reset a call whose answer belongs to another call

Callers saw an unknown outcome, which is true; the endpoint worked on without being told. Cause: the sidecar left the call after the head of a wrong answer, and the client library kept the connection open until the endpoint ended its answer. The same class as in the gateway: an attempt is given up without its endpoint being told. Change: the call is cancelled, which resets its connection, as a cancelled caller does. Evidence: EndpointCallerTest without the change 5 of 5 runs failed (an answer to another call: still connected after 2 s), with it 5 of 5 passed. Its other four cases, cancelled calls and garbled answers, were reset before.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
@@ -16,6 +16,7 @@
 import io.ktor.utils.io.ByteReadChannel
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.cancel
 import org.guavahatch.coordination.http.SingleAttemptClient
 import org.guavahatch.protocol.message.EndpointCall
 import org.guavahatch.protocol.message.FailureReason
@@ -74,7 +75,11 @@
     }
 
     private suspend fun receive(response: HttpResponse, callId: String, sink: AnswerSink): CallResult {
-        if (echoesRequestId && response.headers[REQUEST_ID] != callId) return CallResult.Failed(FailureReason.CROSSED)
+        if (echoesRequestId && response.headers[REQUEST_ID] != callId) {
+            // The end of the call alone would leave the connection open and the endpoint at work.
+            response.cancel()
+            return CallResult.Failed(FailureReason.CROSSED)
+        }
         val contentType = response.contentType()
         sink.onHead(response.status.value, contentType?.toString().orEmpty())
         val input = response.bodyAsChannel()
