Read what endpoints have sent during a pause of the process before a stream counts as stalled

Callers saw a gap; each of their streams was read again by a second endpoint, and counted against the allowance of retries. Cause: after a pause of the process its timers were due before its connections were read, so the silence of the loop was taken for that of the endpoints, and sound streams were reset and moved, all at once. Class: a silence of our own is taken for one of the peer. Change: a stall check that comes more than 100 ms late is put off once, by 300 ms, in which the connections are read.

--- a/cli/src/test/kotlin/org/guavahatch/cli/process/RunOnceTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/RunOnceTest.kt
@@ -4,6 +4,7 @@
 import org.guavahatch.platform.standin.EndpointReply
 import org.guavahatch.platform.standin.EndpointStandIn
 import org.guavahatch.platform.standin.GatewayClient
+import org.guavahatch.standins.launch.ManagedProcess
 import java.nio.file.Files
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.concurrent.thread
@@ -17,7 +18,7 @@
 
     @Test
     fun `an order whose rejection is written once more on its connection runs once`() =
-        play(endpoints = 1, { rejectThenRepeatRejection(requestedStatus()) }) { gateway ->
+        play(endpoints = 1, { rejectThenRepeatRejection(requestedStatus()) }) { gateway, _ ->
             val failures = listOf(421, 429, 503).flatMap { status ->
                 List(REQUESTS) { "copy-$status-$it" }.mapNotNull { id ->
                     val result = gateway.call("/order/$status", id)
@@ -30,7 +31,7 @@
 
     @Test
     fun `an order that ran is not reported as not run because its endpoint answers without saying so`() =
-        play(endpoints = 1, { runAndAnswer(requestedStatus()) }) { gateway ->
+        play(endpoints = 1, { runAndAnswer(requestedStatus()) }) { gateway, _ ->
             val failures = listOf(408, 429, 503).flatMap { status ->
                 List(REQUESTS) { "unmarked-$status-$it" }.mapNotNull { id ->
                     val result = gateway.call("/order/$status", id)
@@ -51,7 +52,7 @@
                 Thread.sleep(LIST_MILLISECONDS)
                 rejectThenRepeatRejection(421)
             }
-            deployment.withGateway { gateway ->
+            deployment.withGateway { gateway, _ ->
                 val failures = List(REQUESTS) { "renamed-$it" }.mapNotNull { id ->
                     gateway.call("/order/421", id)
                     "$id: ${runs.of(id).size} runs".takeIf { runs.of(id).size != 1 }
@@ -102,7 +103,7 @@
 
     @Test
     fun `an endpoint does not work on after its stream was moved to another one`() =
-        play(endpoints = 2 * failures.size, { failOrFinish(failures[request.id.toInt()]) }) { gateway ->
+        play(endpoints = 2 * failures.size, { failOrFinish(failures[request.id.toInt()]) }) { gateway, _ ->
             val callers = failures.indices.map { thread { gateway.call("/resumable/x", "$it") } }
             callers.forEach { it.join() }
             Thread.sleep(WORK_MILLISECONDS)
@@ -110,22 +111,38 @@
             assertEquals(emptyMap(), overlaps.filterValues { it == null || it > STOP_MILLISECONDS })
         }
 
+    @Test
+    fun `a sound stream is not moved to another endpoint because the gateway was paused`() =
+        play(endpoints = 3, { streamForSeconds() }) { gateway, process ->
+            val ids = List(STREAMS) { "sound-$it" }
+            val callers = ids.map { id -> thread { gateway.call("/resumable/x", id) } }
+            check(Deployment.until { ids.all { runs.of(it).isNotEmpty() } }) { "The streams have not begun." }
+            repeat(2) {
+                Thread.sleep(EVENT_MILLISECONDS)
+                process.suspendProcess()
+                Thread.sleep(PAUSE_MILLISECONDS)
+                process.resumeProcess()
+            }
+            callers.forEach { it.join() }
+            assertEquals(emptyMap(), ids.associateWith { runs.of(it).size }.filterValues { it != 1 })
+        }
+
     /** Plays [calls] against a gateway with [endpoints] endpoints that reply with [reply]. */
-    private fun play(endpoints: Int, reply: EndpointReply.() -> Unit, calls: (GatewayClient) -> Unit) =
+    private fun play(endpoints: Int, reply: EndpointReply.() -> Unit, calls: (GatewayClient, ManagedProcess) -> Unit) =
         Deployment().use { deployment ->
             deployment.configure(1)
             repeat(endpoints) { deployment.endpoint("i-$it", behaviour = reply) }
             deployment.withGateway(calls)
         }
 
-    private fun Deployment.withGateway(calls: (GatewayClient) -> Unit) {
+    private fun Deployment.withGateway(calls: (GatewayClient, ManagedProcess) -> Unit) {
         val settings = settings("gateway-1", store.address)
         val process = GatewayLauncher(settings, Files.createTempDirectory("run-once")).start()
         try {
             val gateway = GatewayClient(settings)
             check(Deployment.until { gateway.readiness() == OK }) { "The gateway is not ready." }
             Thread.sleep(LIST_MILLISECONDS)
-            calls(gateway)
+            calls(gateway, process)
         } finally {
             process.kill()
         }
@@ -154,6 +171,17 @@
         close()
     }
 
+    private fun EndpointReply.streamForSeconds() {
+        val run = runs.begin(request.id)
+        beginStream()
+        for (event in 1..SOUND_EVENTS) {
+            chunk("id: $event\n\n")
+            Thread.sleep(SOUND_EVENT_MILLISECONDS)
+        }
+        endStream()
+        run.end()
+    }
+
     private fun EndpointReply.finishStream() {
         val run = runs.begin(request.id)
         beginStream()
@@ -185,6 +213,14 @@
         /** Pause between two events of a stream. */
         const val EVENT_MILLISECONDS = 300L
 
+        /** Longer than the silence after which a stream is moved. */
+        const val PAUSE_MILLISECONDS = 1_400L
+        const val STREAMS = 12
+
+        /** A sound stream, which lasts for less than the caller's 3 s. */
+        const val SOUND_EVENTS = 28
+        const val SOUND_EVENT_MILLISECONDS = 100L
+
         /** Time for which an endpoint works on if it does not learn that its stream goes on elsewhere. */
         const val WORK_MILLISECONDS = 2_100L
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -37,6 +37,8 @@
     private var silentSince = startedAt
     private var isReadingPaused = false
     private var stallTimer: ScheduledFuture<*>? = null
+    private var stallCheckDueAt = 0L
+    private var isStallCheckPostponed = false
     private var bufferedBody: ByteBuf = Unpooled.EMPTY_BUFFER
     private var bufferedBytes = 0L
 
@@ -277,6 +279,7 @@
     /** Checks after [limit] whether a repeatable request must move to another endpoint because this one is silent. */
     private fun scheduleStallCheck(limit: Long) {
         if (!plan.route.isRepeatable) return
+        stallCheckDueAt = context.clock.monotonicMilliseconds() + limit
         stallTimer = context.loop.schedule(::checkStall, limit, TimeUnit.MILLISECONDS)
     }
 
@@ -287,9 +290,16 @@
         val limit = if (lastEventAt == 0L) firstResponseLimit() else pause
         val silence = if (isReadingPaused) 0 else now - silentSince
         if (silence < limit) {
+            isStallCheckPostponed = false
             scheduleStallCheck(limit - silence)
             return
         }
+        // After a pause of this process, what the endpoint has sent meanwhile is still to be read.
+        if (now - stallCheckDueAt > LATE_CHECK_MILLISECONDS && !isStallCheckPostponed) {
+            isStallCheckPostponed = true
+            scheduleStallCheck(READ_AFTER_PAUSE_MILLISECONDS)
+            return
+        }
         if (!request.acquireRepeat()) {
             scheduleStallCheck(limit)
             return
@@ -329,5 +339,11 @@
         /** Time without an event, in multiples of the route's maximum pause, after which another endpoint is tried. */
         const val STALL_PAUSE_MULTIPLE = 4
         const val MINIMUM_STALL_MILLISECONDS = 1_000L
+
+        /** Delay of a stall check from which on the process counts as paused. */
+        const val LATE_CHECK_MILLISECONDS = 100L
+
+        /** Longer than the shortest time after which a peer sends lost packets again. */
+        const val READ_AFTER_PAUSE_MILLISECONDS = 300L
     }
 }
