Log the first skipped response of each send only

Cause: an endpoint that sends endless responses to other requests could push other decisions out of the log's queue. Change: one line for each send; the counter counts all.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -39,6 +39,7 @@
     private var stallTimer: ScheduledFuture<*>? = null
     private var stallCheckDueAt = 0L
     private var isStallCheckPostponed = false
+    private var hasSkipped = false
     private var bufferedBody: ByteBuf = Unpooled.EMPTY_BUFFER
     private var bufferedBytes = 0L
 
@@ -143,6 +144,8 @@
 
     override fun onSkipped(response: HttpResponse) {
         context.metrics.countSkipped(plan.pool)
+        if (hasSkipped) return
+        hasSkipped = true
         context.log.write("response.skipped", plan) {
             put("endpoint", endpoint.listed.id)
             put("status", response.status().code())
