--- a/cli/src/test/kotlin/org/guavahatch/cli/process/GatewayLauncher.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/GatewayLauncher.kt
@@ -9,7 +9,7 @@
 /**
  * Starts a gateway with [settings] as a separate process. Its settings file and log are in [folder].
  *
- * `-Dgateway.jar=FILE` starts the gateway of that jar, for example of an earlier commit, instead of the code under test.
+ * `-Dgateway.jar=FILE` starts the gateway of that jar, for example of an earlier commit, not the code under test.
  */
 internal class GatewayLauncher(private val settings: GatewaySettings, folder: Path) {
     private val file = folder.resolve("${settings.name}.jsonc")
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -5,8 +5,7 @@
 import io.netty.channel.nio.NioIoHandler
 import org.guavahatch.gateway.caller.CallerServer
 import org.guavahatch.gateway.control.Admission
-import org.guavahatch.gateway.control.ConfiguredKeys
-import org.guavahatch.gateway.control.ConfiguredRoutes
+import org.guavahatch.gateway.control.ConfiguredPermissions
 import org.guavahatch.gateway.control.ControlResponse
 import org.guavahatch.gateway.control.ControlServer
 import org.guavahatch.gateway.control.GatewayState
@@ -57,8 +56,7 @@
             ProcessEndDetector(connector, clock),
             state.quarantine,
             state.ledger,
-            ConfiguredKeys(state, headers.key),
-            ConfiguredRoutes(state),
+            ConfiguredPermissions(state, headers.key),
             bufferedResponses,
             log,
             metrics,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -41,8 +41,8 @@
  * A response without the id of the request sent last belongs to an earlier request and is skipped. Bytes received while
  * no request is outstanding close the connection.
  *
- * A connection whose request ends without a whole response is reset: an endpoint may take an orderly end for that of the
- * caller's output only, or notice it late, and work on.
+ * A connection whose request ends without a whole response is reset: an endpoint may take an orderly end for that of
+ * the caller's output only, or notice it late, and work on.
  *
  * @property number number of the connection within this process, for logs
  */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -35,13 +35,14 @@
     val isContinuation: Boolean get() = history.hasAnswerBegun
 
     /** Whether the key of the request was withdrawn while it waited. */
-    val isKeyWithdrawn: Boolean get() = !isContinuation && context.keys.isWithdrawn(plan)
+    val isKeyWithdrawn: Boolean get() = !isContinuation && context.permissions.isKeyWithdrawn(plan)
 
     /**
      * Whether the request may be sent at [now]: its deadline may have passed or its key may have been withdrawn while
      * the process was paused.
      */
-    fun maySendAt(now: Long): Boolean = now < plan.waiting.deadline && (isContinuation || context.keys.isAccepted(plan))
+    fun maySendAt(now: Long): Boolean =
+        now < plan.waiting.deadline && (isContinuation || context.permissions.isKeyAccepted(plan))
 
     /** Sends the request to [endpoint]. */
     fun dispatch(endpoint: EndpointState) {
@@ -207,7 +208,7 @@
 
     /** Takes a retry for a request that an endpoint may have run; false if it may not be repeated or none is left. */
     internal fun acquireRepeat(): Boolean =
-        history.canRepeat && context.routes.allowRepeat(plan) && dispatcher.acquireRetry()
+        history.canRepeat && context.permissions.isRepeatAllowed(plan) && dispatcher.acquireRetry()
 
     internal fun onStalled(endpoint: EndpointState, reason: String) {
         val trace = attempt?.trace
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -21,8 +21,7 @@
  * @property processEnds detects endpoints whose process has ended
  * @property quarantine requests that must not be sent because their prompts end endpoints
  * @property ledger quota use of client accounts
- * @property keys keys that may be used now
- * @property routes routes whose requests may be repeated now
+ * @property permissions what accepted requests may still do
  * @property bufferedResponses budget for the bytes of incomplete responses
  * @property log decision log
  * @property metrics counters and histograms
@@ -35,8 +34,7 @@
     val processEnds: ProcessEndDetector,
     val quarantine: QuarantineControl,
     val ledger: AccountLedger,
-    val keys: AcceptedKeys,
-    val routes: RepeatableRoutes,
+    val permissions: RequestPermissions,
     val bufferedResponses: ByteBudget,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/ManagedProcess.kt
@@ -71,7 +71,7 @@
         /** JVM options for measurements. */
         internal val MEASUREMENT_JVM_OPTIONS = listOf("-Xmx256m", "-XX:+UseSerialGC", "-Xshare:auto")
 
-        /** Starts a JVM with [mainClass] on [classPath], by default that of this process; appends its output to [log]. */
+        /** Starts a JVM with [mainClass] on [classPath], by default that of this process. It logs to [log]. */
         fun start(
             name: String,
             log: Path,
