Decode the head of a response once it is whole, and only if it is one head

Cause: the beginning of a late second answer, cut inside its status line or a header's value, and the whole head of the next answer were decoded as one head; it had the status of the first and the fields of the second. The decoder took the parts of a head as they came. Change: a head is kept back until it is whole, then checked as bytes: one status line, header fields of the grammar, no control characters; one request id and one length. Every answer begins with a status line, so bytes that hold two are two heads, however they were cut.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -118,11 +118,14 @@
             isSkippingResponse = true
             return
         }
-        isSkippingResponse = response.headers().get(requestIdHeader) != requestId
+        val ids = response.headers().getAll(requestIdHeader).distinct()
+        if (ids.size > 1) return abort("not an HTTP answer (two request ids)")
+        isSkippingResponse = ids.singleOrNull() != requestId
         if (isSkippingResponse) {
             listener?.onSkipped(response)
             return
         }
+        if (hasTwoLengths(response)) return abort("not an HTTP answer (two lengths)")
         isReadingResponse = true
         progressLimit.noteProgress()
         isSelfDelimited = isSelfDelimited(response)
@@ -185,5 +188,10 @@
         fun isSelfDelimited(response: HttpResponse): Boolean = HttpUtil.isTransferEncodingChunked(response) ||
             HttpUtil.isContentLengthSet(response) ||
             response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+
+        /** Whether [response] has both a length and chunks (RFC 9112, section 6.3). */
+        private fun hasTwoLengths(response: HttpResponse): Boolean =
+            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
+                response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -11,8 +11,8 @@
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import org.guavahatch.gateway.SocketAddresses
+import org.guavahatch.gateway.http.SingleHeadResponseDecoder
 import org.guavahatch.model.time.Clock
 
 /**
@@ -38,7 +38,7 @@
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline()
                     .addLast(EndpointInput(), ProgressLimit(maximumBytesWithoutProgress))
-                    .addLast(HttpRequestEncoder(), HttpResponseDecoder())
+                    .addLast(HttpRequestEncoder(), SingleHeadResponseDecoder())
             }
         })
 
