Use no connection again on which bytes of no request were found

Callers saw: sound answers lost to 502 or 504 after an endpoint's late second answer, and no line of the log told which connection was spoiled. Cause: an idle connection counted as clean as long as no message was decoded, also with bytes in the decoder, behind the last answer in the same read, or not read from the system yet. Change: before a connection is used again, what has arrived on it is read; bytes behind an answer, on an idle connection, in place of a head, or a whole answer to another request end its use, and for 10 s no connection to that address carries more than one request (ConnectionReuse, a decision without I/O). Each such connection has one line endpoint.unexpected-bytes with count, first bytes, place and time since the last answer, and a counter.

--- a/cli/src/test/kotlin/org/guavahatch/cli/process/SplicedAnswerTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/SplicedAnswerTest.kt
@@ -23,6 +23,15 @@
         assertEquals(emptyMap(), describe(mixed))
     }
 
+    @Test
+    fun `a sound answer is not lost to bytes that came while its connection was idle`() {
+        val lost = results.filter { (case, result) ->
+            val isSound = case.status == SplicedAnswers.OK && case.moment == SplicedAnswer.Moment.IDLE
+            isSound && result.status != SplicedAnswers.OK
+        }
+        assertEquals(emptyMap(), describe(lost))
+    }
+
     private fun describe(results: Map<SplicedAnswer, CallerResult>) =
         results.entries.associate { (case, result) -> case.name to "${result.status} ${result.body}" }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -11,6 +11,7 @@
 import org.guavahatch.gateway.control.GatewayState
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.endpoint.ProcessEndDetector
+import org.guavahatch.gateway.endpoint.UnexpectedBytes
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.observation.GatewayMetrics
 import org.guavahatch.gateway.peer.PeerExchange
@@ -37,12 +38,14 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val random = Random(incarnation.hashCode() + clock.wallMilliseconds())
-    private val connector = EndpointConnector(group, clock, headers.requestId, settings.endpoints.maximumAnswerBytes)
     private val metrics = GatewayMetrics()
 
     /** Log of decisions. */
     val log: DecisionLog = DecisionLog(settings.name)
 
+    private val connector =
+        EndpointConnector(group, clock, headers.requestId, settings.endpoints.maximumAnswerBytes, ::noteUnexpectedBytes)
+
     /** State of the gateway; platform adapters report changes to it, on [eventLoop]. */
     val state: GatewayState = GatewayState(settings, incarnation, loop, clock, log, connector, random)
 
@@ -65,6 +68,20 @@
     private val callers = CallerServer(group, admission, clock)
     private var stopSignal = CountDownLatch(1)
 
+    private fun noteUnexpectedBytes(address: String, bytes: UnexpectedBytes) {
+        metrics.countUnexpectedBytes(bytes.found)
+        log.write("endpoint.unexpected-bytes") {
+            put("address", address)
+            put("connection", bytes.connection)
+            put("connection-requests", bytes.requests)
+            put("last-request", bytes.lastRequest)
+            put("found", bytes.found.text)
+            put("bytes", bytes.count)
+            put("excerpt", bytes.excerpt)
+            bytes.millisecondsSinceAnswer?.let { put("since-answer", it) }
+        }
+    }
+
     /** Event loop on which adapters must call [state]. */
     val eventLoop: EventLoop get() = loop
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -1,7 +1,6 @@
 package org.guavahatch.gateway.endpoint
 
 import io.netty.buffer.ByteBuf
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelOption
@@ -13,6 +12,12 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.guavahatch.gateway.http.ArrivedInput
+import org.guavahatch.gateway.http.InspectableSocketChannel
+import org.guavahatch.gateway.http.MalformedHeadException
+import org.guavahatch.gateway.http.SingleHeadResponseDecoder
+import org.guavahatch.gateway.http.excerpt
+import org.guavahatch.model.time.Clock
 
 /** Receives the response of an endpoint to one request. The connection owns the buffers, valid during the call. */
 interface EndpointResponseListener {
@@ -38,8 +43,8 @@
 /**
  * One connection to an endpoint, with one request at a time.
  *
- * A response without the id of the request sent last belongs to an earlier request and is skipped. Bytes received while
- * no request is outstanding close the connection.
+ * A response without the id of the request sent last belongs to an earlier request and is skipped. Such a connection,
+ * and one on which bytes are received while no request is outstanding, carries no further request.
  *
  * A connection whose request ends without a whole response is reset: an endpoint may take an orderly end for that of
  * the caller's output only, or notice it late, and work on.
@@ -47,13 +52,16 @@
  * @property number number of the connection within this process, for logs
  */
 class EndpointConnection internal constructor(
-    val channel: Channel,
+    val channel: InspectableSocketChannel,
     val number: Long,
     private val requestIdHeader: String,
     private val pool: IdleConnections,
-    private val progressLimit: ProgressLimit,
-    private val input: EndpointInput,
+    private val clock: Clock,
+    private val onUnexpectedBytes: (UnexpectedBytes) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
+    private val progressLimit = channel.pipeline().get(ProgressLimit::class.java)
+    private val input = channel.pipeline().get(EndpointInput::class.java)
+    private val decoder = channel.pipeline().get(SingleHeadResponseDecoder::class.java)
     private var listener: EndpointResponseListener? = null
     private var requestId = ""
     private var isBodyWritten = false
@@ -61,6 +69,8 @@
     private var isReadingResponse = false
     private var isSelfDelimited = false
     private var closesAfterResponse = false
+    private var answeredAt: Long? = null
+    private var hasUnexpectedBytes = false
 
     /** Number of requests sent on the connection. */
     var requests = 0
@@ -90,6 +100,19 @@
     /** Keeps the connection, on which nothing was sent, for reuse. */
     fun releaseUnused() = pool.release(this)
 
+    /** Whether nothing was received since the last response, not even the end of the connection. */
+    fun isReusable(): Boolean {
+        val arrived = channel.inspect()
+        if (arrived is ArrivedInput.Bytes) {
+            reportUnexpected(
+                UnexpectedBytes.Place.BEFORE_REUSE,
+                arrived.content.readableBytes(),
+                arrived.content.excerpt(EXCERPT_BYTES),
+            )
+        }
+        return arrived == ArrivedInput.Nothing
+    }
+
     /**
      * Aborts the current request with a TCP reset, which discards what was not transmitted. An endpoint can still read
      * what its system has received, so it may run the request even later.
@@ -103,7 +126,7 @@
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             when {
-                listener == null -> channel.close()
+                listener == null -> onIdleMessage(message)
                 message is HttpResponse && message.decoderResult().isFailure -> abort("not an HTTP answer")
                 message is HttpResponse -> readHead(message)
             }
@@ -113,6 +136,25 @@
         }
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        if (listener == null && decoder.unreadBytes > 0) {
+            reportUnread(UnexpectedBytes.Place.IDLE)
+            reset()
+        }
+        context.fireChannelReadComplete()
+    }
+
+    private fun onIdleMessage(message: Any) {
+        if (message is HttpResponse) {
+            reportUnexpected(
+                UnexpectedBytes.Place.IDLE,
+                decoder.unreadBytes,
+                message.summary(),
+            )
+        }
+        reset()
+    }
+
     private fun readHead(response: HttpResponse) {
         if (response.status().code() < FIRST_FINAL_STATUS) {
             isSkippingResponse = true
@@ -122,6 +164,7 @@
         if (ids.size > 1) return abort("not an HTTP answer (two request ids)")
         isSkippingResponse = ids.singleOrNull() != requestId
         if (isSkippingResponse) {
+            reportUnexpected(UnexpectedBytes.Place.OTHER_RESPONSE, decoder.unreadBytes, response.summary())
             listener?.onSkipped(response)
             return
         }
@@ -129,7 +172,7 @@
         isReadingResponse = true
         progressLimit.noteProgress()
         isSelfDelimited = isSelfDelimited(response)
-        closesAfterResponse = !HttpUtil.isKeepAlive(response) || !isSelfDelimited
+        closesAfterResponse = hasUnexpectedBytes || !HttpUtil.isKeepAlive(response) || !isSelfDelimited
         keepAliveMilliseconds = KeepAliveHeader.timeoutMilliseconds(response.headers().get("Keep-Alive"))
             ?: keepAliveMilliseconds
         listener?.onHead(response)
@@ -156,11 +199,24 @@
         val current = listener ?: return
         listener = null
         isReadingResponse = false
+        answeredAt = clock.monotonicMilliseconds()
+        if (decoder.unreadBytes > 0) reportUnread(UnexpectedBytes.Place.BEHIND_RESPONSE)
+        val isReused = !closesAfterResponse && !hasUnexpectedBytes && isBodyWritten && channel.isActive
         // An endpoint that responds before it has the whole body would parse the rest of it as another request.
-        if (closesAfterResponse || !isBodyWritten || !channel.isActive) channel.close() else pool.release(this)
+        if (isReused) pool.release(this) else channel.close()
         current.onComplete()
     }
 
+    private fun reportUnread(place: UnexpectedBytes.Place) =
+        reportUnexpected(place, decoder.unreadBytes, decoder.unreadExcerpt(EXCERPT_BYTES))
+
+    private fun reportUnexpected(place: UnexpectedBytes.Place, count: Int, excerpt: String) {
+        if (hasUnexpectedBytes) return
+        hasUnexpectedBytes = true
+        val sinceAnswer = answeredAt?.let { clock.monotonicMilliseconds() - it }
+        onUnexpectedBytes(UnexpectedBytes(number, requests, requestId, place, count, excerpt, sinceAnswer))
+    }
+
     private fun abort(reason: String) {
         val current = listener
         reset()
@@ -172,8 +228,15 @@
         context.fireUserEventTriggered(event)
     }
 
-    override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) =
+    override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) {
+        // Bytes that are no head may be the rest of an earlier response only where there was one.
+        val mayBeExtra = listener == null || requests > 1
+        if (exception is MalformedHeadException && mayBeExtra) {
+            val place = if (listener == null) UnexpectedBytes.Place.IDLE else UnexpectedBytes.Place.HEAD
+            reportUnexpected(place, decoder.unreadBytes, exception.excerpt)
+        }
         abort(exception.message ?: exception.javaClass.simpleName)
+    }
 
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(this)
@@ -181,6 +244,7 @@
     }
 
     companion object {
+        private const val EXCERPT_BYTES = 64
         private const val FIRST_FINAL_STATUS = 200
         private const val CLOSED_BY_ENDPOINT = "closed by the endpoint"
 
@@ -194,4 +258,7 @@
             response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
                 response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
     }
+
+    /** The status line of a response, for logs. */
+    private fun HttpResponse.summary() = "${protocolVersion()} ${status()}"
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -9,9 +9,9 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import org.guavahatch.gateway.SocketAddresses
+import org.guavahatch.gateway.http.InspectableSocketChannel
 import org.guavahatch.gateway.http.SingleHeadResponseDecoder
 import org.guavahatch.model.time.Clock
 
@@ -19,18 +19,20 @@
  * Opens connections to endpoints and keeps idle ones for reuse.
  *
  * @property maximumBytesWithoutProgress bytes that an endpoint may send without progress of its response
+ * @property onUnexpectedBytes receives the bytes that belong to no response to a request
  */
 class EndpointConnector(
     loop: EventLoopGroup,
     private val clock: Clock,
     private val requestIdHeader: String,
     private val maximumBytesWithoutProgress: Long,
+    private val onUnexpectedBytes: (address: String, UnexpectedBytes) -> Unit,
 ) {
     private var opened = 0L
     private val idleByAddress = HashMap<String, IdleConnections>()
     private val bootstrap = Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel::class.java)
+        .channelFactory { InspectableSocketChannel() }
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
@@ -63,11 +65,12 @@
                 val reason = future.cause().message ?: future.cause().javaClass.simpleName
                 return@addListener use(EndpointUnreachable(address, reason).left())
             }
-            val pipeline = channelFuture.channel().pipeline()
-            val limit = pipeline.get(ProgressLimit::class.java)
-            val input = pipeline.get(EndpointInput::class.java)
-            val connection = EndpointConnection(channelFuture.channel(), ++opened, requestIdHeader, idle, limit, input)
-            pipeline.addLast(connection)
+            val channel = channelFuture.channel() as InspectableSocketChannel
+            val connection = EndpointConnection(channel, ++opened, requestIdHeader, idle, clock) { bytes ->
+                idle.suspendReuse()
+                onUnexpectedBytes(address, bytes)
+            }
+            channel.pipeline().addLast(connection)
             use(connection.right())
         }
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/IdleConnections.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/IdleConnections.kt
@@ -1,18 +1,20 @@
 package org.guavahatch.gateway.endpoint
 
 import org.guavahatch.model.time.Clock
+import org.guavahatch.scheduling.direct.ConnectionReuse
 
 /** Idle connections to one endpoint; the most recently used one is reused first. */
 class IdleConnections(private val clock: Clock) {
     private val idle = ArrayDeque<Entry>()
+    private val reuse = ConnectionReuse()
 
     /** Number of idle connections. */
     val size: Int get() = idle.size
 
     /**
      * Takes a connection that was idle for at most [maximumIdleMilliseconds] and at most half of its keep-alive
-     * timeout, and whose number is not in [excluded], or null. Other connections found closed or idle for longer are
-     * closed and dropped.
+     * timeout, on which nothing was received meanwhile, and whose number is not in [excluded], or null. Other
+     * connections found closed or idle for longer are closed and dropped.
      */
     fun take(maximumIdleMilliseconds: Long, excluded: Set<Long>): EndpointConnection? {
         val now = clock.monotonicMilliseconds()
@@ -25,15 +27,18 @@
                 maximumIdleMilliseconds,
                 entry.connection.keepAliveMilliseconds?.div(2) ?: DEFAULT_MAXIMUM_IDLE_MILLISECONDS,
             )
-            if (entry.connection.channel.isActive && now - entry.idleSince <= allowed) return entry.connection
+            val isFresh = entry.connection.channel.isActive && now - entry.idleSince <= allowed
+            if (isFresh && entry.connection.isReusable()) return entry.connection
             entry.connection.channel.close()
+            // The connection may have found bytes of no answer, so that the others are closed.
+            if (!reuse.isAllowed(now)) return null
         }
         return null
     }
 
-    /** Keeps [connection] for reuse, or closes it if enough are idle. */
+    /** Keeps [connection] for reuse, or closes it if enough are idle or none may be reused. */
     fun release(connection: EndpointConnection) {
-        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS) {
+        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS || !reuse.isAllowed(clock.monotonicMilliseconds())) {
             connection.channel.close()
             return
         }
@@ -45,6 +50,12 @@
         idle.removeAll { it.connection === connection }
     }
 
+    /** Closes all idle connections, and keeps none for some time, as the endpoint has sent bytes of no answer. */
+    fun suspendReuse() {
+        reuse.recordUnexpectedBytes(clock.monotonicMilliseconds())
+        close()
+    }
+
     /** Closes all idle connections. */
     fun close() {
         val closing = idle.toList()
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -4,6 +4,7 @@
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.guavahatch.gateway.endpoint.UnexpectedBytes
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -14,6 +15,7 @@
     private val sends = HashMap<String, Counter>()
     private val lost = HashMap<String, Counter>()
     private val skipped = HashMap<String, Counter>()
+    private val unexpectedBytes = HashMap<UnexpectedBytes.Place, Counter>()
     private val timers = HashMap<String, Timer>()
 
     /** Returns the current values in the Prometheus text format. */
@@ -39,6 +41,11 @@
         Counter.builder("guavahatch.gateway.responses.skipped").tag("pool", pool).register(registry)
     }.increment()
 
+    /** Counts a connection to an endpoint on which bytes of no response were found in [place]. */
+    fun countUnexpectedBytes(place: UnexpectedBytes.Place) = unexpectedBytes.getOrPut(place) {
+        Counter.builder("guavahatch.gateway.unexpected.bytes").tag("found", place.text).register(registry)
+    }.increment()
+
     /** Records the duration of [step] (queue, first-event, total) of a request of [rank]. */
     fun recordDuration(step: String, rank: Int, milliseconds: Long) = timers.getOrPut("$step $rank") {
         Timer.builder("guavahatch.gateway.duration")
