--- a/gateway/src/main/kotlin/org/guavahatch/gateway/http/ResponseHeadSyntax.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/http/ResponseHeadSyntax.kt
@@ -15,7 +15,7 @@
     /** Whether a head may begin with [bytes], which are its first ones. */
     fun isBeginning(bytes: String): Boolean = VERSIONS.startsWith(bytes.take(VERSIONS.length))
 
-    /** The reason why [head], one character for each byte up to and including its empty line, is not one head, or null. */
+    /** The reason why [head], one character for each byte and with its empty line, is not one head, or null. */
     fun problem(head: String): String? {
         val lines = head.trimEnd('\r', '\n').split('\n').map { it.removeSuffix("\r") }
         return when {
