Count the rest of a request that was given up as no bytes of another answer

Cause: after an aborted response, bytes still in the decoder, or decoded once more at the close, counted as found on an idle connection; each garbled first answer ended the reuse of connections to its endpoint for 10 s. A connection in use while its address was dropped from the list returned to a pool that no one could reach. The number of bytes of a whole response was that of its body. Change: only an open connection without a request is idle; a retired pool closes what returns to it; a response that was decoded is logged with its status line and id, without a number.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -76,7 +76,7 @@
             put("connection-requests", bytes.requests)
             put("last-request", bytes.lastRequest)
             put("found", bytes.found.text)
-            put("bytes", bytes.count)
+            bytes.count?.let { put("bytes", it) }
             put("excerpt", bytes.excerpt)
             bytes.millisecondsSinceAnswer?.let { put("since-answer", it) }
         }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -137,21 +137,18 @@
     }
 
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        if (listener == null && decoder.unreadBytes > 0) {
+        if (isIdle && decoder.unreadBytes > 0) {
             reportUnread(UnexpectedBytes.Place.IDLE)
             reset()
         }
         context.fireChannelReadComplete()
     }
 
+    /** Whether no request is outstanding. The rest of one that was given up may still be decoded after the close. */
+    private val isIdle: Boolean get() = listener == null && channel.isOpen
+
     private fun onIdleMessage(message: Any) {
-        if (message is HttpResponse) {
-            reportUnexpected(
-                UnexpectedBytes.Place.IDLE,
-                decoder.unreadBytes,
-                message.summary(),
-            )
-        }
+        if (isIdle && message is HttpResponse) reportResponse(UnexpectedBytes.Place.IDLE, message)
         reset()
     }
 
@@ -164,7 +161,7 @@
         if (ids.size > 1) return abort("not an HTTP answer (two request ids)")
         isSkippingResponse = ids.singleOrNull() != requestId
         if (isSkippingResponse) {
-            reportUnexpected(UnexpectedBytes.Place.OTHER_RESPONSE, decoder.unreadBytes, response.summary())
+            reportResponse(UnexpectedBytes.Place.OTHER_RESPONSE, response)
             listener?.onSkipped(response)
             return
         }
@@ -207,10 +204,15 @@
         current.onComplete()
     }
 
+    private fun reportResponse(place: UnexpectedBytes.Place, response: HttpResponse) {
+        val id = response.headers().get(requestIdHeader).orEmpty()
+        reportUnexpected(place, null, "${response.protocolVersion()} ${response.status()}, request id $id")
+    }
+
     private fun reportUnread(place: UnexpectedBytes.Place) =
         reportUnexpected(place, decoder.unreadBytes, decoder.unreadExcerpt(EXCERPT_BYTES))
 
-    private fun reportUnexpected(place: UnexpectedBytes.Place, count: Int, excerpt: String) {
+    private fun reportUnexpected(place: UnexpectedBytes.Place, count: Int?, excerpt: String) {
         if (hasUnexpectedBytes) return
         hasUnexpectedBytes = true
         val sinceAnswer = answeredAt?.let { clock.monotonicMilliseconds() - it }
@@ -229,15 +231,20 @@
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) {
-        // Bytes that are no head may be the rest of an earlier response only where there was one.
-        val mayBeExtra = listener == null || requests > 1
-        if (exception is MalformedHeadException && mayBeExtra) {
-            val place = if (listener == null) UnexpectedBytes.Place.IDLE else UnexpectedBytes.Place.HEAD
-            reportUnexpected(place, decoder.unreadBytes, exception.excerpt)
-        }
+        if (exception is MalformedHeadException) reportMalformed(exception)
         abort(exception.message ?: exception.javaClass.simpleName)
     }
 
+    private fun reportMalformed(exception: MalformedHeadException) {
+        val place = when {
+            isIdle -> UnexpectedBytes.Place.IDLE
+            // A first response that is garbled is no late part of an earlier one.
+            listener != null && requests > 1 -> UnexpectedBytes.Place.HEAD
+            else -> return
+        }
+        reportUnexpected(place, decoder.unreadBytes, exception.excerpt)
+    }
+
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(this)
         abort(CLOSED_BY_ENDPOINT)
@@ -258,7 +265,4 @@
             response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
                 response.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
     }
-
-    /** The status line of a response, for logs. */
-    private fun HttpResponse.summary() = "${protocolVersion()} ${status()}"
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -75,9 +75,9 @@
         }
     }
 
-    /** Closes the idle connections to [address]. */
+    /** Closes the idle connections to [address], and those in use after their request. */
     fun closeIdle(address: String) {
-        idleByAddress.remove(address)?.close()
+        idleByAddress.remove(address)?.retire()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/IdleConnections.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/IdleConnections.kt
@@ -7,6 +7,7 @@
 class IdleConnections(private val clock: Clock) {
     private val idle = ArrayDeque<Entry>()
     private val reuse = ConnectionReuse()
+    private var isRetired = false
 
     /** Number of idle connections. */
     val size: Int get() = idle.size
@@ -38,7 +39,8 @@
 
     /** Keeps [connection] for reuse, or closes it if enough are idle or none may be reused. */
     fun release(connection: EndpointConnection) {
-        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS || !reuse.isAllowed(clock.monotonicMilliseconds())) {
+        val isKept = !isRetired && reuse.isAllowed(clock.monotonicMilliseconds())
+        if (idle.size >= MAXIMUM_IDLE_CONNECTIONS || !isKept) {
             connection.channel.close()
             return
         }
@@ -56,8 +58,13 @@
         close()
     }
 
-    /** Closes all idle connections. */
-    fun close() {
+    /** Closes all idle connections, and those in use after their request. */
+    fun retire() {
+        isRetired = true
+        close()
+    }
+
+    private fun close() {
         val closing = idle.toList()
         idle.clear()
         closing.forEach { it.connection.channel.close() }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/UnexpectedBytes.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/UnexpectedBytes.kt
@@ -7,8 +7,8 @@
  * @property requests number of requests sent on the connection
  * @property lastRequest id of the request sent last
  * @property found where the bytes were found
- * @property count number of bytes known so far
- * @property excerpt the first of them, escaped
+ * @property count number of bytes read so far, or null if they were decoded as a response
+ * @property excerpt the first of them, escaped, or the status line and request id of the response
  * @property millisecondsSinceAnswer time since the last whole response on the connection, or null if there was none
  */
 data class UnexpectedBytes(
@@ -16,7 +16,7 @@
     val requests: Int,
     val lastRequest: String,
     val found: Place,
-    val count: Int,
+    val count: Int?,
     val excerpt: String,
     val millisecondsSinceAnswer: Long?,
 ) {
