Break off an answer in whose body the head of another answer begins

Cause: an answer without a length ends with its connection, so whatever the endpoint writes before the end is a part of it; a body that was broken off is filled up by the next bytes. Change: a body that holds a status line, header fields and the field with a request's id is no body of one answer; the request fails as if its connection had ended. The test of it in UnexpectedBytesTest and EmbeddedResponseTest pass. A cut copy without the id's field is still taken for the end of such a body.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.guavahatch.gateway.http.ArrivedInput
+import org.guavahatch.gateway.http.EmbeddedResponse
 import org.guavahatch.gateway.http.InspectableSocketChannel
 import org.guavahatch.gateway.http.MalformedHeadException
 import org.guavahatch.gateway.http.SingleHeadResponseDecoder
@@ -70,6 +71,7 @@
     private var isSelfDelimited = false
     private var closesAfterResponse = false
     private var answeredAt: Long? = null
+    private var embeddedResponse = EmbeddedResponse(requestIdHeader)
     private var hasUnexpectedBytes = false
 
     /** Number of requests sent on the connection. */
@@ -167,6 +169,7 @@
         }
         if (hasTwoLengths(response)) return abort("not an HTTP answer (two lengths)")
         isReadingResponse = true
+        embeddedResponse = EmbeddedResponse(requestIdHeader)
         progressLimit.noteProgress()
         isSelfDelimited = isSelfDelimited(response)
         closesAfterResponse = hasUnexpectedBytes || !HttpUtil.isKeepAlive(response) || !isSelfDelimited
@@ -183,6 +186,7 @@
             return
         }
         if (!isReadingResponse) return
+        if (embeddedResponse.isFoundIn(content.content())) return abort("another answer inside the answer")
         if (content.content().isReadable) listener?.onData(content.content())
         if (!isLast) return
         when {
