Refuse a request head that may be the beginning of one and the whole of another

A caller's cut request and the next one on its connection were read as one request, with the target of the first and the fields of the second. Requests with two ids, two hosts, another version of the protocol or a control character in the target were run as well. With two ids the caller got no answer though the endpoint had run the request. Change: RequestHeadSyntax tells such heads after decoding; they are refused with 400 and the connection is closed, so bytes behind them are not run.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -65,7 +65,7 @@
             metrics,
         )
     private val admission = Admission(state, context, settings.requests, random)
-    private val callers = CallerServer(group, admission, clock)
+    private val callers = CallerServer(group, admission, clock, headers.requestId)
     private var stopSignal = CountDownLatch(1)
 
     private fun noteUnexpectedBytes(address: String, bytes: UnexpectedBytes) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -22,11 +22,19 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
+import org.guavahatch.gateway.http.RequestHeadSyntax
 import org.guavahatch.model.time.Clock
 
-/** One connection of a caller: requests are read completely, one at a time, and responded to in order. */
-class CallerConnection(private val acceptor: RequestAcceptor, private val clock: Clock) :
-    ChannelInboundHandlerAdapter() {
+/**
+ * One connection of a caller: requests are read completely, one at a time, and responded to in order.
+ *
+ * @property requestIdHeader name of the header with the id of a request
+ */
+class CallerConnection(
+    private val acceptor: RequestAcceptor,
+    private val clock: Clock,
+    private val requestIdHeader: String,
+) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private val postponed = ArrayDeque<HttpObject>()
     private var head: HttpRequest? = null
@@ -90,7 +98,8 @@
     private fun readHead(request: HttpRequest) {
         val isAmbiguous = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH) &&
             request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
-        if (isAmbiguous || hasUnknownCoding(request)) return refuse(HttpResponseStatus.BAD_REQUEST)
+        val isOneRequest = RequestHeadSyntax.problem(request, requestIdHeader) == null
+        if (isAmbiguous || !isOneRequest || hasUnknownCoding(request)) return refuse(HttpResponseStatus.BAD_REQUEST)
         val contentLength = HttpUtil.getContentLength(request, 0L)
         if (contentLength > acceptor.limits.maximumBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         head = request
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
@@ -13,8 +13,17 @@
 import org.guavahatch.model.time.Clock
 import java.util.concurrent.TimeUnit
 
-/** Accepts the connections of callers. */
-class CallerServer(private val loop: EventLoopGroup, private val acceptor: RequestAcceptor, private val clock: Clock) {
+/**
+ * Accepts the connections of callers.
+ *
+ * @property requestIdHeader name of the header with the id of a request
+ */
+class CallerServer(
+    private val loop: EventLoopGroup,
+    private val acceptor: RequestAcceptor,
+    private val clock: Clock,
+    private val requestIdHeader: String,
+) {
     private val connections = HashSet<CallerConnection>()
     private var listener: Channel? = null
 
@@ -51,7 +60,7 @@
     }
 
     private fun initialize(channel: SocketChannel) {
-        val connection = CallerConnection(acceptor, clock)
+        val connection = CallerConnection(acceptor, clock, requestIdHeader)
         connections.add(connection)
         channel.closeFuture().addListener { connections.remove(connection) }
         val headerBytes = acceptor.limits.maximumHeaderBytes
