Count no interim response as the response to a request

With a request that waits for 100 Continue and a pipelined HEAD request behind it, the caller got the first answer without its body, which its Content-Length announced. The codec keeps the methods of the requests and takes one for each response, so that the interim response used up that of the first request, and its answer was written as one to HEAD. Change: 100 Continue is written past the codec.

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -107,9 +107,13 @@
         headReceivedAt = clock.monotonicMilliseconds()
         idleSince = headReceivedAt
         body = if (contentLength > 0) context.alloc().buffer(contentLength.toInt()) else context.alloc().buffer(0)
-        if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
+        if (HttpUtil.is100ContinueExpected(request)) writeContinue()
+    }
+
+    /** Written past the codec, which would take it for the response to the request and count one too many. */
+    private fun writeContinue() {
+        val bytes = Unpooled.copiedBuffer("HTTP/1.1 100 Continue\r\n\r\n", Charsets.US_ASCII)
+        context.pipeline().firstContext().writeAndFlush(bytes)
     }
 
     /** Whether the end of the body is unknown, since it is not in chunks only (RFC 9112, section 6.3). */
