Deliver no answer of an endpoint that is put together from two

A sidecar delivered a failure of its endpoint as a success if the endpoint had written the beginning of another answer before it on the connection of the call: the client read both as one head, with the status of the first. Of two request ids the first was believed. Change: an answer whose reason or fields hold a second status line, or with two ids, counts as crossed (AnswerHeads). Each call has a connection of its own, so no later call is concerned.

--- a/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/sidecar/EndpointCaller.kt
@@ -17,6 +17,7 @@
 import io.ktor.utils.io.readAvailable
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.cancel
+import org.guavahatch.coordination.http.AnswerHeads
 import org.guavahatch.coordination.http.SingleAttemptClient
 import org.guavahatch.protocol.message.EndpointCall
 import org.guavahatch.protocol.message.FailureReason
@@ -75,7 +76,8 @@
     }
 
     private suspend fun receive(response: HttpResponse, callId: String, sink: AnswerSink): CallResult {
-        if (echoesRequestId && response.headers[REQUEST_ID] != callId) {
+        val isOther = echoesRequestId && response.headers[REQUEST_ID] != callId
+        if (isOther || AnswerHeads.isPutTogether(response, REQUEST_ID)) {
             // The end of the call alone would leave the connection open and the endpoint at work.
             response.cancel()
             return CallResult.Failed(FailureReason.CROSSED)
