Use a connection to the services of the platform for one call only

A call got the answer to an earlier call, or one put together from two. The client kept its connections; no answer names its call, and bytes behind an answer were read as the beginning of the next one. A table read or a conditional write could thus be told the result of another. Change: each call closes its connection, and an answer with a second status line is a failure, uncertain for writes. What it costs in connections is not measured.

--- a/coordination/src/main/kotlin/org/guavahatch/coordination/http/PlatformClient.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/PlatformClient.kt
@@ -4,14 +4,17 @@
 import arrow.core.left
 import arrow.core.right
 import io.ktor.client.request.HttpRequestBuilder
+import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.url
 import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpHeaders
 import io.ktor.http.HttpMethod
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
 import org.guavahatch.coordination.store.PlatformError
+import java.io.IOException
 import java.net.ConnectException
 
 /**
@@ -23,7 +26,7 @@
 internal data class PlatformResponse(val status: Int, val body: String)
 
 /**
- * Calls the services of the platform over HTTP.
+ * Calls the services of the platform over HTTP, each call on a connection of its own.
  *
  * @property baseUrl URL of the services, without a trailing slash
  * @property timeoutMilliseconds timeout of a call and of its connection attempt, default 1000
@@ -73,8 +76,13 @@
     ): PlatformResponse = client.prepareRequest {
         this.method = method
         url(url)
+        // No answer names its call, so bytes behind one must not be read by the next call on the connection.
+        header(HttpHeaders.Connection, "close")
         configure()
-    }.execute { response -> PlatformResponse(response.status.value, response.bodyAsText()) }
+    }.execute { response ->
+        if (AnswerHeads.isPutTogether(response)) throw IOException("The answer is put together from two")
+        PlatformResponse(response.status.value, response.bodyAsText())
+    }
 
     private fun failure(step: String, peer: String, cause: String, isWrite: Boolean): Either<PlatformError, Nothing> {
         val detail = "The call failed: $cause."
