Soak: endpoints write late copies of answers, and callers' answers are compared with theirs

Change: while faults are injected, endpoints write seeded second copies of some answers, whole or cut, while the connection is idle or before its next answer, in one or two segments, and answer some requests with 500. They record each answer with a seal of its own; status, id, seal and body at the caller are compared with it, and a success must be whole. These draws are apart from the others, so that the faults of a seed stay the same.

--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/GatewaySoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/GatewaySoakTest.kt
@@ -28,7 +28,7 @@
     private fun run(seed: Int): List<String> = Deployment().use { deployment ->
         val folder = Files.createDirectories(Path.of("target", "soak", "seed-$seed"))
         deployment.configure(1, listOf("key-0"), SoakGateway.ROUTES)
-        val endpoints = SoakEndpoints(Random(seed))
+        val endpoints = SoakEndpoints(seed)
         repeat(ENDPOINTS) { index -> deployment.endpoint("i-$index") { endpoints.serve(this) } }
         val gateways = List(GATEWAYS) { SoakGateway(deployment, "gateway-$it", folder) }
         val callers = SoakCallers(gateways.map { it.settings.callers }, seed)
@@ -36,12 +36,16 @@
         try {
             check(awaitAllServing(callers, gateways, "before-$seed")) { "The gateways do not serve requests." }
             callers.start()
+            endpoints.isStuttering = true
             faults.injectFor(faultMilliseconds)
+            endpoints.isStuttering = false
             val isRecovered = awaitAllServing(callers, gateways, "after-$seed")
             callers.stop()
             val violations = SoakInvariants(endpoints, faults.revokedAtMilliseconds).violations(callers.calls.toList())
             val statusCounts = callers.calls.groupingBy { it.status }.eachCount()
-            println("soak seed $seed: $statusCounts; ${faults.history.joinToString(", ")}")
+            println(
+                "soak seed $seed: $statusCounts; ${endpoints.copies} late copies; ${faults.history.joinToString(", ")}",
+            )
             val unrecovered = "a gateway does not serve requests $RECOVERY_MILLISECONDS ms after the faults"
             violations + if (isRecovered) emptyList() else listOf(unrecovered)
         } finally {
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakCallers.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakCallers.kt
@@ -16,18 +16,34 @@
  * @property id request id
  * @property route name of the route, which is the first segment of the path
  * @property key client key
- * @property status status code of the response, 0 if the connection failed or the response is incomplete
- * @property body body of the response, empty if [status] is 0
  * @property sentAtMilliseconds time of sending, in milliseconds of the monotonic clock
+ * @param response the response, null if the connection failed or the response is incomplete
  */
 internal class SoakCall(
     val id: String,
     val route: String,
     val key: String,
-    val status: Int,
-    val body: String,
     val sentAtMilliseconds: Long,
-)
+    response: HttpResponse<String>?,
+) {
+    /** Status code of the response, 0 if there is none. */
+    val status = response?.statusCode() ?: 0
+
+    /** Body of the response, empty if there is none. */
+    val body = response?.body().orEmpty()
+
+    /** Request id that the response bears. */
+    val responseId: String? = response?.headers()?.firstValue(PlatformHeaders.names.requestId)?.orElse(null)
+
+    /** Seal that the endpoint gave to the response; null if it is a gateway's own. */
+    val seal: String? = response?.headers()?.firstValue(SoakAnswer.SEAL)?.orElse(null)
+
+    val isSuccess: Boolean get() = status in SUCCESSES
+
+    private companion object {
+        val SUCCESSES = 200..299
+    }
+}
 
 /** Callers that reuse connections and switch to another gateway after a failed request. */
 internal class SoakCallers(private val addresses: List<String>, private val seed: Int) {
@@ -63,7 +79,7 @@
             .POST(HttpRequest.BodyPublishers.ofString("hello")).build()
         // A failed connection is a valid result: the caller does not learn the outcome of its request.
         val response = runCatching { client.send(request, HttpResponse.BodyHandlers.ofString()) }.getOrNull()
-        return SoakCall(id, route, key, response?.statusCode() ?: 0, response?.body().orEmpty(), sentAtMilliseconds)
+        return SoakCall(id, route, key, sentAtMilliseconds, response)
     }
 
     private fun run(caller: Int, random: Random) {
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakEndpoints.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakEndpoints.kt
@@ -2,51 +2,99 @@
 
 import org.guavahatch.platform.standin.EndpointReply
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
-/** Handles the requests to the endpoints of a soak test, with random failures on demand, and records what they ran. */
-internal class SoakEndpoints(private val random: Random) {
+/**
+ * Handles the requests to the endpoints of a soak test, with random failures on demand, and records what they ran and
+ * answered.
+ */
+internal class SoakEndpoints(seed: Int) {
+    private val random = Random(seed)
+
+    /** Draws apart from those of [random], which decide on the failures of a seed. */
+    private val stutterRandom = Random(seed.toLong() shl Int.SIZE_BITS)
+    private val stutter = SoakStutter(stutterRandom)
+    private val answerCount = AtomicInteger()
+
     /** Start times of the executions of each request by request id, in milliseconds of the monotonic clock. */
     val runs = ConcurrentHashMap<String, List<Long>>()
 
+    /** Answers to each request by request id, recorded before they are written. */
+    val answers = ConcurrentHashMap<String, List<SoakAnswer>>()
+
+    /** Number of late second copies of answers. */
+    val copies: Int get() = stutter.copies
+
     /** Whether endpoints fail a share of their requests at random. */
     @Volatile
     var failsRequests = false
 
-    /** Ids of rejected requests whose rejection was not repeated yet. */
-    private val rejected = ConcurrentHashMap.newKeySet<String>()
+    /** Whether endpoints answer some requests with an error, and write second copies of some answers. */
+    @Volatile
+    var isStuttering = false
 
     /** Handles one request. A rejection is sent once more before the next response on its connection. */
     fun serve(reply: EndpointReply) {
-        reply.earlier.lastOrNull()?.id?.takeIf(rejected::remove)?.let { reply.reject(id = it) }
+        stutter.writeOwed(reply)
         val draw = synchronized(random) { random.nextInt(PERCENT) }.takeIf { failsRequests } ?: PERCENT
         if (draw < REJECTED_LIMIT) {
-            rejected += reply.request.id
-            return reply.reject()
+            val rejection = record(reply, UNAVAILABLE, isRejection = true)
+            stutter.owe(reply.request, rejection)
+            return write(reply, rejection)
         }
         runs.merge(reply.request.id, listOf(now()), List<Long>::plus)
         when {
             draw < CLOSED_LIMIT -> reply.close()
             draw < RESET_LIMIT -> reply.reset()
-            draw < ERROR_LIMIT -> reply.answer(INTERNAL_ERROR, reply.request.id)
-            draw < UNMARKED_LIMIT -> reply.answer(UNAVAILABLE, reply.request.id)
+            draw < ERROR_LIMIT -> answer(reply, INTERNAL_ERROR)
+            draw < UNMARKED_LIMIT -> answer(reply, UNAVAILABLE)
+            isStuttering && drawsError() -> answer(reply, INTERNAL_ERROR)
             isStream(reply) -> stream(reply, isTruncated = draw < TRUNCATED_LIMIT)
-            else -> reply.answer(OK, reply.request.id)
+            else -> answer(reply, OK)
         }
     }
 
+    private fun drawsError() = synchronized(stutterRandom) { stutterRandom.nextInt(PERCENT) < STUTTER_ERROR_PERCENT }
+
     private fun isStream(reply: EndpointReply) =
         reply.request.line.contains("/stream/") || reply.request.line.contains("/resumable/")
 
+    private fun answer(reply: EndpointReply, status: Int) = finish(reply, record(reply, status))
+
     private fun stream(reply: EndpointReply, isTruncated: Boolean) {
         val firstEventId = (reply.request.headers["last-event-id"]?.toInt() ?: 0) + 1
-        reply.beginStream()
-        for (eventId in firstEventId..EVENTS) {
-            if (isTruncated && eventId == EVENTS) return reply.reset()
-            reply.chunk("id: $eventId\ndata: ${reply.request.id}\n\n")
+        val events = (firstEventId..EVENTS).map { "id: $it\ndata: ${reply.request.id}\n\n" }
+        finish(reply, record(reply, OK, events, isWhole = !isTruncated || events.isEmpty()))
+    }
+
+    private fun record(
+        reply: EndpointReply,
+        status: Int,
+        events: List<String>? = null,
+        isWhole: Boolean = true,
+        isRejection: Boolean = false,
+    ): SoakAnswer {
+        val id = reply.request.id
+        val answer = SoakAnswer(id, status, "seal-${answerCount.incrementAndGet()}", events, isWhole, isRejection)
+        answers.merge(id, listOf(answer), List<SoakAnswer>::plus)
+        return answer
+    }
+
+    private fun finish(reply: EndpointReply, answer: SoakAnswer) {
+        write(reply, answer)
+        if (!answer.isWhole) {
+            reply.reset()
+        } else if (isStuttering) {
+            stutter.repeat(reply, answer)
+        }
+    }
+
+    private fun write(reply: EndpointReply, answer: SoakAnswer) = answer.pieces.forEachIndexed { index, piece ->
+        reply.raw(piece)
+        if (index in 1..<answer.pieces.lastIndex || (index > 0 && !answer.isWhole)) {
             Thread.sleep(EVENT_PAUSE_MILLISECONDS)
         }
-        reply.endStream()
     }
 
     companion object {
@@ -57,6 +105,7 @@
         private const val UNAVAILABLE = 503
 
         private const val PERCENT = 100
+        private const val STUTTER_ERROR_PERCENT = 15
 
         // Cumulative shares of the kinds of failure while failsRequests is set, in percent of the requests.
         private const val REJECTED_LIMIT = 8
