Soak: seals that show a cut copy, more copies and errors; state of gateways that do not serve

Change: seals have 64 characters and come before the id; more copies and errors. A gateway that does not serve is named with its exit code.

--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/GatewaySoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/GatewaySoakTest.kt
@@ -46,7 +46,8 @@
             println(
                 "soak seed $seed: $statusCounts; ${endpoints.copies} late copies; ${faults.history.joinToString(", ")}",
             )
-            val unrecovered = "a gateway does not serve requests $RECOVERY_MILLISECONDS ms after the faults"
+            val states = gateways.joinToString { it.state }
+            val unrecovered = "a gateway does not serve requests $RECOVERY_MILLISECONDS ms after the faults ($states)"
             violations + if (isRecovered) emptyList() else listOf(unrecovered)
         } finally {
             callers.stop()
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakAnswer.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakAnswer.kt
@@ -23,7 +23,8 @@
     /** The whole body. */
     val body = events?.joinToString("") ?: if (isRejection) "" else id
 
-    private val head = "HTTP/1.1 $status X\r\n${PlatformHeaders.names.requestId}: $id\r\n$SEAL: $seal\r\n" +
+    // The seal comes first: a copy that is cut inside it bears no id, and can be taken for the head of another answer.
+    private val head = "HTTP/1.1 $status X\r\n$SEAL: $seal\r\n${PlatformHeaders.names.requestId}: $id\r\n" +
         (if (isRejection) "${PlatformHeaders.names.notRun}: 1\r\n" else "") +
         if (events == null) "Content-Length: ${body.length}\r\n\r\n" else STREAM_FIELDS
 
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakEndpoints.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakEndpoints.kt
@@ -76,7 +76,8 @@
         isRejection: Boolean = false,
     ): SoakAnswer {
         val id = reply.request.id
-        val answer = SoakAnswer(id, status, "seal-${answerCount.incrementAndGet()}", events, isWhole, isRejection)
+        val seal = "seal-${answerCount.incrementAndGet()}".padEnd(SEAL_LENGTH, '-')
+        val answer = SoakAnswer(id, status, seal, events, isWhole, isRejection)
         answers.merge(id, listOf(answer), List<SoakAnswer>::plus)
         return answer
     }
@@ -100,12 +101,13 @@
     companion object {
         const val EVENTS = 4
         private const val EVENT_PAUSE_MILLISECONDS = 15L
+        private const val SEAL_LENGTH = 64
         private const val OK = 200
         private const val INTERNAL_ERROR = 500
         private const val UNAVAILABLE = 503
 
         private const val PERCENT = 100
-        private const val STUTTER_ERROR_PERCENT = 15
+        private const val STUTTER_ERROR_PERCENT = 25
 
         // Cumulative shares of the kinds of failure while failsRequests is set, in percent of the requests.
         private const val REJECTED_LIMIT = 8
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakGateway.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakGateway.kt
@@ -19,6 +19,10 @@
     var process: ManagedProcess = launcher.start()
         private set
 
+    /** Whether the process is running, or its exit code, for messages. */
+    val state: String
+        get() = "$name " + if (process.isRunning) "is running" else "exited with ${process.awaitExitCode()}"
+
     /** Restarts the process if it has ended. */
     fun ensureStarted() {
         if (!process.isRunning) start()
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakStutter.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakStutter.kt
@@ -56,7 +56,7 @@
 
     private companion object {
         const val PERCENT = 100
-        const val COPIED_PERCENT = 20
+        const val COPIED_PERCENT = 30
         const val WHOLE_PERCENT = 20
         const val MAXIMUM_IDLE_MILLISECONDS = 30L
         const val SEGMENT_MILLISECONDS = 10L
