--- a/cli/src/test/kotlin/org/guavahatch/cli/process/SplicedAnswers.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/SplicedAnswers.kt
@@ -16,13 +16,7 @@
  * @property kind kind of the route
  * @property status status of the answer to the next request
  */
-internal class SplicedAnswer(
-    val number: Int,
-    val form: Form,
-    val moment: Moment,
-    val kind: String,
-    val status: Int,
-) {
+internal class SplicedAnswer(val number: Int, val form: Form, val moment: Moment, val kind: String, val status: Int) {
     val name = "${form.name}, $moment, $kind, $status"
     val service = "service-$number"
     val ownBody = "own-$number"
