Take an answer with 204 or 304 as whole without a length

Callers saw: 502 for each answer with 204 or 304 that has no length. Cause: an answer without a length counted as one that ends with its connection, which these did not do. Change: these statuses have no body (RFC 9112, section 6.3).

--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -262,7 +263,11 @@
         /** Whether the end of [response] can be told from the end of its connection. */
         fun isSelfDelimited(response: HttpResponse): Boolean = HttpUtil.isTransferEncodingChunked(response) ||
             HttpUtil.isContentLengthSet(response) ||
-            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) ||
+            response.status() in BODILESS
+
+        /** Statuses whose responses have no body (RFC 9112, section 6.3). */
+        private val BODILESS = setOf(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED)
 
         /** Whether [response] has both a length and chunks (RFC 9112, section 6.3). */
         private fun hasTwoLengths(response: HttpResponse): Boolean =
