Names of the platform's headers from one place, and one line of the log for odd bytes

Cause: two test files of cli held names of the users' pages, two places wrote the same fields of the log, and the linter. Change: the stand-in names the header; LogLine.putUnexpectedBytes. Behaviour and checks are as before.

--- a/cli/src/test/kotlin/org/guavahatch/cli/process/SplicedAnswers.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/SplicedAnswers.kt
@@ -1,5 +1,6 @@
 package org.guavahatch.cli.process
 
+import org.guavahatch.platform.PlatformHeaders
 import org.guavahatch.platform.standin.CallerResult
 import org.guavahatch.platform.standin.Deployment
 import org.guavahatch.platform.standin.EndpointReply
@@ -44,8 +45,10 @@
     /** Time within which a gateway receives the list of endpoints. */
     private const val LIST_MILLISECONDS = 500L
 
-    private val line = "HTTP/1.1 200 OK\r\n"
-    private val head = "${line}X-Guavahatch-Response-Seal: seal\r\nX-Guavahatch-Attempt-Id: {id}\r\n" +
+    private val idHeader = PlatformHeaders.names.requestId
+    private const val STATUS_LINE = "HTTP/1.1 200 OK\r\n"
+    private val sealLine = "${EndpointReply.SEAL_HEADER}: seal\r\n"
+    private val head = "$STATUS_LINE$sealLine$idHeader: {id}\r\n" +
         "Content-Length: 5\r\n\r\n"
 
     private val forms = listOf(
@@ -55,18 +58,18 @@
         SplicedAnswer.Form("cut before the reason", "HTTP/1.1 200 "),
         SplicedAnswer.Form("cut before the end of the status line", "HTTP/1.1 200 OK"),
         SplicedAnswer.Form("cut inside the end of the status line", "HTTP/1.1 200 OK\r"),
-        SplicedAnswer.Form("cut after the status line", line),
-        SplicedAnswer.Form("cut inside a header's name", "${line}X-Guava"),
-        SplicedAnswer.Form("cut inside a header's value", "${line}X-Guavahatch-Response-Seal: se"),
-        SplicedAnswer.Form("cut after a header", "${line}X-Guavahatch-Response-Seal: seal\r\n"),
-        SplicedAnswer.Form("cut inside the id", "${line}X-Guavahatch-Attempt-Id: c"),
+        SplicedAnswer.Form("cut after the status line", STATUS_LINE),
+        SplicedAnswer.Form("cut inside a header's name", "${STATUS_LINE}X-Guava"),
+        SplicedAnswer.Form("cut inside a header's value", "$STATUS_LINE$sealLine".dropLast(4)),
+        SplicedAnswer.Form("cut after a header", "$STATUS_LINE$sealLine"),
+        SplicedAnswer.Form("cut inside the id", "$STATUS_LINE$idHeader: c"),
         SplicedAnswer.Form("cut behind the id", head.substringBefore("5\r\n")),
         SplicedAnswer.Form("a head without its body", head),
         SplicedAnswer.Form("cut inside the body", "${head}fi"),
         SplicedAnswer.Form("whole", "${head}first"),
         SplicedAnswer.Form("whole, in two segments", head.take(40), "${head.drop(40)}first"),
         SplicedAnswer.Form("whole, and a cut one", "${head}firstHTTP/1.1 200 OK"),
-        SplicedAnswer.Form("without an id", "${line}Content-Length: 5\r\n\r\nfirst"),
+        SplicedAnswer.Form("without an id", "${STATUS_LINE}Content-Length: 5\r\n\r\nfirst"),
         SplicedAnswer.Form("an interim response", "HTTP/1.1 102 Processing\r\n\r\n"),
         SplicedAnswer.Form("an empty line", "\r\n"),
         SplicedAnswer.Form("the rest of a body", "first"),
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakAnswer.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakAnswer.kt
@@ -1,6 +1,7 @@
 package org.guavahatch.cli.soak
 
 import org.guavahatch.platform.PlatformHeaders
+import org.guavahatch.platform.standin.EndpointReply
 
 /**
  * The answer of an endpoint to a request.
@@ -37,7 +38,7 @@
     }
 
     companion object {
-        const val SEAL = "X-Guavahatch-Response-Seal"
+        const val SEAL = EndpointReply.SEAL_HEADER
         private const val STREAM_FIELDS = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         private const val HEXADECIMAL = 16
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -12,6 +12,7 @@
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.endpoint.ProcessEndDetector
 import org.guavahatch.gateway.endpoint.UnexpectedBytes
+import org.guavahatch.gateway.endpoint.putUnexpectedBytes
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.observation.GatewayMetrics
 import org.guavahatch.gateway.peer.PeerExchange
@@ -70,16 +71,7 @@
 
     private fun noteUnexpectedBytes(address: String, bytes: UnexpectedBytes) {
         metrics.countUnexpectedBytes(bytes.found)
-        log.write("endpoint.unexpected-bytes") {
-            put("address", address)
-            put("connection", bytes.connection)
-            put("connection-requests", bytes.requests)
-            put("last-request", bytes.lastRequest)
-            put("found", bytes.found.text)
-            bytes.count?.let { put("bytes", it) }
-            put("excerpt", bytes.excerpt)
-            bytes.millisecondsSinceAnswer?.let { put("since-answer", it) }
-        }
+        log.write("endpoint.unexpected-bytes") { putUnexpectedBytes(address, bytes) }
     }
 
     /** Event loop on which adapters must call [state]. */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/UnexpectedBytes.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/UnexpectedBytes.kt
@@ -1,5 +1,7 @@
 package org.guavahatch.gateway.endpoint
 
+import org.guavahatch.gateway.observation.LogLine
+
 /**
  * Bytes on a connection that belong to no response to a request on it.
  *
@@ -42,3 +44,15 @@
         HEAD("head"),
     }
 }
+
+/** Adds [bytes] and the [address] that sent them. */
+fun LogLine.putUnexpectedBytes(address: String, bytes: UnexpectedBytes) {
+    put("address", address)
+    put("connection", bytes.connection)
+    put("connection-requests", bytes.requests)
+    put("last-request", bytes.lastRequest)
+    put("found", bytes.found.text)
+    bytes.count?.let { put("bytes", it) }
+    put("excerpt", bytes.excerpt)
+    bytes.millisecondsSinceAnswer?.let { put("since-answer", it) }
+}
