--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -17,6 +17,10 @@
  * @property stop time limit of a planned stop
  * @property endpoints limits for endpoints and their responses
  * @property requests limits of the requests that one gateway holds
+ * @property rollouts limits of rollouts; null if rollouts are not carried out
+ * @property zones use of endpoints in other availability zones
+ * @property accounts use of a full pool by client accounts
+ * @property callerConnections limits of the connections of callers
  */
 @Serializable
 data class GatewaySettings(
@@ -32,6 +36,10 @@
     val stop: StopSettings,
     val endpoints: EndpointSettings,
     val requests: RequestSettings = RequestSettings(),
+    val rollouts: RolloutSettings? = null,
+    val zones: ZoneSettings = ZoneSettings(),
+    val accounts: AccountSettings = AccountSettings(),
+    val callerConnections: CallerConnectionSettings = CallerConnectionSettings(),
 )
 
 /**
