--- a/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
@@ -1,15 +1,12 @@
 package org.guavahatch.daemon
 
 import arrow.core.Either
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
-import org.guavahatch.gateway.settings.GatewaySettings
+import org.guavahatch.daemon.settings.GatewaySettingsReader
+import org.guavahatch.daemon.settings.SettingsMerge
 import org.guavahatch.model.time.SystemClock
 import org.guavahatch.platform.PlatformGateway
 import sun.misc.Signal
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.random.Random
@@ -34,7 +31,8 @@
         // The gateway logs JSON objects, so lines need no prefix. The other roles use the format in tinylog.properties.
         System.setProperty("tinylog.writer.format", "{message}")
         System.setProperty("tinylog.writer.stream", "out")
-        val settings = when (val read = read(Path.of(arguments.settings))) {
+        val reader = GatewaySettingsReader(System.getenv(SettingsMerge.VARIABLE))
+        val settings = when (val read = reader.read(Path.of(arguments.settings))) {
             is Either.Left -> {
                 System.err.println(read.value)
                 exitProcess(EXIT_USAGE)
@@ -46,7 +44,7 @@
         val gateway = PlatformGateway(settings, incarnation, SystemClock)
         startOrExit(gateway)
         if (arguments.isRehearsal) rehearse()
-        watcher = SettingsWatcher(Path.of(arguments.settings), settings, ::read, gateway.log).also { it.start() }
+        watcher = SettingsWatcher(Path.of(arguments.settings), settings, reader::read, gateway.log).also { it.start() }
         val stopped = CountDownLatch(1)
         Signal.handle(Signal("TERM")) {
             Thread {
@@ -79,15 +77,4 @@
         println("${ClassPreloader.load()} classes were loaded")
         exitProcess(0)
     }
-
-    @OptIn(ExperimentalSerializationApi::class)
-    private fun read(file: Path): Either<String, GatewaySettings> = try {
-        val json = Json {
-            allowComments = true
-            ignoreUnknownKeys = true
-        }
-        Either.Right(json.decodeFromString(GatewaySettings.serializer(), Files.readString(file)))
-    } catch (exception: SerializationException) {
-        Either.Left("$file: ${exception.message}")
-    }
 }
