--- a/model/src/main/kotlin/org/guavahatch/model/forwarding/ListedEndpoint.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/forwarding/ListedEndpoint.kt
@@ -12,6 +12,7 @@
  * @property zone its availability zone
  * @property slots maximum number of requests that it runs concurrently
  * @property isLeaving whether it is shutting down and accepts no new requests
+ * @property version version of its software, or null if not reported
  */
 public data class ListedEndpoint(
     public val id: EndpointId,
@@ -21,4 +22,5 @@
     public val zone: String,
     public val slots: Int,
     public val isLeaving: Boolean,
+    public val version: String? = null,
 )
