--- a/daemon/src/test/kotlin/org/guavahatch/daemon/settings/SettingsMergeTest.kt
+++ b/daemon/src/test/kotlin/org/guavahatch/daemon/settings/SettingsMergeTest.kt
@@ -39,6 +39,7 @@
             val error = assertIs<Either.Left<*>>(SettingsMerge.merge("file", "{}", overlay), overlay)
             assertTrue(error.value.toString().startsWith("GATEWAY_SETTINGS: "), error.value.toString())
         }
+    }
 
     @Test
     fun `a wrong value in the variable is refused with the name of the variable instead of an exception`() {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.json.JsonArray
 import org.guavahatch.gateway.caller.CallerServer
 import org.guavahatch.gateway.control.Admission
 import org.guavahatch.gateway.control.ConfiguredPermissions
@@ -59,6 +60,7 @@
             connector,
             ProcessEndDetector(connector, clock),
             state.quarantine,
+            state.rollouts,
             state.ledger,
             ConfiguredPermissions(state, headers.key),
             bufferedResponses,
@@ -74,6 +76,10 @@
         log.write("endpoint.unexpected-bytes") { putUnexpectedBytes(address, bytes) }
     }
 
+    init {
+        state.rollouts.metrics = metrics.rollouts
+    }
+
     /** Event loop on which adapters must call [state]. */
     val eventLoop: EventLoop get() = loop
 
@@ -86,7 +92,11 @@
             put("callers", settings.callers)
         }
         ControlServer(group, mapOf("/ready" to ::readinessResponse)).start(settings.readiness)
-        val handlers = mapOf("/metrics" to ::metricsResponse, "/configuration" to ::configurationResponse)
+        val handlers = mapOf(
+            "/metrics" to ::metricsResponse,
+            "/configuration" to ::configurationResponse,
+            "/rollouts" to ::rolloutsResponse,
+        )
         ControlServer(group, handlers).start(settings.control)
         PeerExchange(state, loop, clock, log, fetchConfiguration).start(settings.control)
         callers.start(settings.callers)
@@ -144,6 +154,9 @@
     private fun configurationResponse() =
         state.document?.let { ControlResponse(OK, it) } ?: ControlResponse(UNAVAILABLE)
 
+    private fun rolloutsResponse() =
+        ControlResponse(OK, JsonArray(state.rollouts.states.map { it.toJson() }).toString().toByteArray())
+
     private fun registerGauges() {
         metrics.gauge("configuration.version") { (state.configuration?.version ?: 0).toDouble() }
         metrics.gauge("configuration.age") { (state.freshness.ageMilliseconds() ?: -1).toDouble() }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -23,6 +23,8 @@
 import org.guavahatch.scheduling.direct.SlotShares
 import org.guavahatch.scheduling.quarantine.Quarantine
 import org.guavahatch.scheduling.quarantine.QuarantineReport
+import org.guavahatch.scheduling.rollout.RolloutOrder
+import org.guavahatch.scheduling.rollout.RolloutRecord
 import kotlin.random.Random
 
 /**
@@ -70,6 +72,9 @@
         control.onHeldBack = { pools.values.forEach { it.endQuarantined() } }
     }
 
+    /** Rollouts of versions. */
+    val rollouts: RolloutControl = RolloutControl(settings.rollouts, loop, clock, random, log, peers) { clockGaps }
+
     /** Names and control addresses of the registered gateways. */
     var gateways: Map<String, String> = emptyMap()
         private set
@@ -122,6 +127,7 @@
         configuration = newer
         document = newDocument
         ledger.prepare(newer.accounts.values)
+        rollouts.onPools(newer.routes.flatMapTo(HashSet()) { route -> route.targets.map { it.pool } })
         log.write("configuration.applied") {
             put("version", newer.version)
             put("previous", previous?.version ?: 0)
@@ -136,6 +142,7 @@
     override fun onEndpointChanged(endpoint: ListedEndpoint) {
         val previousPool = poolByEndpoint.put(endpoint.id, endpoint.pool)
         if (previousPool != null && previousPool != endpoint.pool) pool(previousPool).remove(endpoint.id)
+        rollouts.onEndpointChanged(endpoint)
         pool(endpoint.pool).update(endpoint)
         log.write("endpoint.listed") {
             put("endpoint", endpoint.id)
@@ -148,6 +155,7 @@
 
     override fun onEndpointRemoved(id: EndpointId) {
         val name = poolByEndpoint.remove(id) ?: return
+        rollouts.onEndpointRemoved(id)
         pool(name).remove(id)
         log.write("endpoint.gone") {
             put("endpoint", id)
@@ -165,6 +173,13 @@
 
     override fun onQuarantineDeleted(deleted: Quarantine) = quarantine.onDeleted(deleted)
 
+    override fun onRolloutOrdered(order: RolloutOrder, isAtStart: Boolean) = rollouts.onOrdered(order, isAtStart)
+
+    override fun onRolloutOrderRefused(pool: String, reason: String) = rollouts.refuse(pool, reason)
+
+    override fun onRolloutRecord(pool: String, record: RolloutRecord?, elapsedMilliseconds: Long) =
+        rollouts.onRecord(pool, record, elapsedMilliseconds)
+
     override fun onDependencyLost(dependency: String, reason: String) = log.write("dependency.lost") {
         put("dependency", dependency)
         put("reason", reason)
@@ -177,6 +192,7 @@
     /** Applies the report of a peer. */
     fun onPeerReport(report: PeerReport) {
         quarantine.onPeerReport(report.quarantine)
+        rollouts.onPeerReports(report.name, report.incarnation, report.rollouts)
         val isFirst = peers.freshReports().none { it.name == report.name }
         val used = peers.processReport(report) ?: return
         val levels = report.accounts?.levels
@@ -207,6 +223,7 @@
             waiting = pools.values.mapNotNull { pool -> pool.highestRankWaiting?.let { pool.name to it } }.toMap(),
             changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
+            rollouts = if (detail == ReportDetail.LOAD) emptyList() else rollouts.reports(),
         )
     }
 
@@ -219,6 +236,7 @@
         val chooser = EarliestFirstTokenChooser(random, settings.zone)
         val allowance = RetryAllowance(clock, limit)
         val pool = PoolDispatcher(name, loop, clock, chooser, SlotShares(random), allowance, peers, connector, stop)
+        pool.rollouts = rollouts
         pool.onChange = { listeners.forEach { it() } }
         return pool
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
@@ -4,6 +4,8 @@
 import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.scheduling.quarantine.Quarantine
+import org.guavahatch.scheduling.rollout.RolloutOrder
+import org.guavahatch.scheduling.rollout.RolloutRecord
 
 /** Receives the changes that a platform adapter observes, on the gateway's event loop. */
 interface PlatformListener {
@@ -42,6 +44,23 @@
     /** The quarantine [deleted] was deleted from the store. */
     fun onQuarantineDeleted(deleted: Quarantine)
 
+    /**
+     * The store holds the rollout order [order].
+     *
+     * @param isAtStart whether it was there when this gateway started, so that an earlier run may have acted on it
+     */
+    fun onRolloutOrdered(order: RolloutOrder, isAtStart: Boolean)
+
+    /** The rollout order for [pool] in the store is invalid or was deleted, as [reason] says. */
+    fun onRolloutOrderRefused(pool: String, reason: String)
+
+    /**
+     * The store holds [record] as the state of the rollout of [pool], or none if it is null.
+     *
+     * @param elapsedMilliseconds time since the start of the rollout by the store's clock
+     */
+    fun onRolloutRecord(pool: String, record: RolloutRecord?, elapsedMilliseconds: Long)
+
     /** The connection to [dependency] was lost, for [reason]. */
     fun onDependencyLost(dependency: String, reason: String)
 
--- /dev/null
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
@@ -0,0 +1,51 @@
+package org.guavahatch.gateway.control
+
+import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.rollout.PoolRollout
+import org.guavahatch.scheduling.rollout.RolloutPhase
+import org.guavahatch.scheduling.rollout.RolloutReport
+
+/** A rollout of one pool, and what its control keeps beside the decisions. All times are monotonic milliseconds. */
+internal class TrackedRollout(val rollout: PoolRollout) {
+    private val peerReports = HashMap<String, RolloutReport>()
+
+    /** Last phase that was logged. */
+    var loggedPhase: RolloutPhase = rollout.phase
+
+    /** Figures behind the last transition that this gateway decided. */
+    var evidence: String = ""
+
+    /** Time of the last change of phase. */
+    var changedAt: Long = 0
+
+    /** Time of the last read of the record. */
+    var readAt: Long = 0
+
+    /** Keeps the last [report] of the gateway [name]. */
+    fun notePeer(name: String, report: RolloutReport) {
+        peerReports[name] = report
+    }
+
+    /**
+     * Requests of peers that are open, or may still be sent, on endpoints of the old side. A peer that has not reported
+     * the promotion may still send one; a silent peer reads the record within [READ_MILLISECONDS].
+     */
+    fun peersOpenOnPrevious(peers: PeerTable, now: Long): Int {
+        val heard = peers.freshReports().sumOf { openOnPrevious(it.name) }
+        val isSilentPeerInformed = now - changedAt >= READ_MILLISECONDS + READ_MARGIN_MILLISECONDS
+        return heard + if (isSilentPeerInformed) 0 else peers.silentCount
+    }
+
+    private fun openOnPrevious(peer: String): Int {
+        val report = peerReports[peer]?.takeIf { it.revision == rollout.order.revision } ?: return 1
+        return if (report.phase == RolloutPhase.RUNNING) maxOf(1, report.openOnPrevious) else report.openOnPrevious
+    }
+
+    companion object {
+        /** Interval at which the record is read until the rollout is over. */
+        const val READ_MILLISECONDS = 1_000L
+
+        /** Time for a read and for the sends that it is too late to prevent. */
+        private const val READ_MARGIN_MILLISECONDS = 500L
+    }
+}
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -20,6 +20,7 @@
 import org.guavahatch.gateway.http.SingleHeadResponseDecoder
 import org.guavahatch.gateway.http.excerpt
 import org.guavahatch.model.time.Clock
+import java.io.IOException
 
 /** Receives the response of an endpoint to one request. The connection owns the buffers, valid during the call. */
 interface EndpointResponseListener {
@@ -65,6 +66,10 @@
     private val input = channel.pipeline().get(EndpointInput::class.java)
     private val decoder = channel.pipeline().get(SingleHeadResponseDecoder::class.java)
     private var listener: EndpointResponseListener? = null
+
+    /** Whether the connection was closed or reset from outside, in contrast to one given up for what it carried. */
+    var isLost: Boolean = false
+        private set
     private var requestId = ""
     private var isBodyWritten = false
     private var isSkippingResponse = false
@@ -230,13 +235,19 @@
         current?.onFailure(reason)
     }
 
+    private fun abortLost(reason: String) {
+        isLost = true
+        abort(reason)
+    }
+
     override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
-        if (event is ChannelInputShutdownEvent) abort(CLOSED_BY_ENDPOINT)
+        if (event is ChannelInputShutdownEvent) abortLost(CLOSED_BY_ENDPOINT)
         context.fireUserEventTriggered(event)
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) {
         if (exception is MalformedHeadException) reportMalformed(exception)
+        if (exception is IOException) isLost = true
         abort(exception.message ?: exception.javaClass.simpleName)
     }
 
@@ -252,7 +263,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         pool.remove(this)
-        abort(CLOSED_BY_ENDPOINT)
+        abortLost(CLOSED_BY_ENDPOINT)
     }
 
     companion object {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -25,6 +25,7 @@
  * @property crashes ends of endpoints that the sender has observed
  * @property answeredParts milliseconds since the latest answer to a request with a suspected prompt part, by part
  * @property quarantines milliseconds for which requests are still held back, by their prompt parts
+ * @property rollouts rollouts of the sender
  */
 @Serializable
 internal class PeerDatagram(
@@ -43,6 +44,7 @@
     @CborLabel(13) val crashes: List<ObservedCrash> = emptyList(),
     @CborLabel(14) val answeredParts: Map<String, Long> = emptyMap(),
     @CborLabel(15) val quarantines: Map<String, Long> = emptyMap(),
+    @CborLabel(16) val rollouts: List<RolloutDatagram> = emptyList(),
 )
 
 /**
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -129,6 +129,7 @@
         },
         report.quarantine.answerAges,
         report.quarantine.remaining.mapKeys { (quarantine, _) -> quarantine.toString() },
+        rollouts = report.rollouts.map(RolloutDatagram::of),
     )
 
     private fun read(packet: DatagramPacket) {
@@ -178,6 +179,7 @@
         waiting = datagram.waiting.mapValues { (_, waiting) -> WaitingReport(waiting[0], waiting[1]) },
         changedUse = datagram.changedUse,
         quarantine = quarantineOf(datagram),
+        rollouts = datagram.rollouts.mapNotNull { it.toReport() },
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -226,6 +226,7 @@
 
     override fun onCallerGone() {
         if (completion.isCompleted) return
+        attempt?.giveUp(isDeadline = false)
         cancelAttempt()
         completion.callerGone()
     }
@@ -241,6 +242,7 @@
 
     private fun onDeadline() {
         if (completion.isCompleted) return
+        attempt?.giveUp(isDeadline = true)
         cancelAttempt()
         when {
             history.hasAnswerBegun -> completion.abort("deadline")
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -22,6 +22,7 @@
     private val context: RequestContext,
 ) : EndpointResponseListener {
     private val splitter = EventSplitter()
+    private val observation = RolloutObservation(context.rollouts, plan, endpoint)
     private val startedAt = context.clock.monotonicMilliseconds()
     private var connection: EndpointConnection? = null
     private var response: HttpResponse? = null
@@ -50,6 +51,7 @@
     /** Connects to the endpoint and sends the request. */
     fun start(lastEventId: Long?, isRetry: Boolean) {
         endpoint.recordSent(pendingPrefillTokens)
+        observation.begin()
         prefillTokensAtStart = endpoint.prefillTokens
         // A late copy of the response to an earlier send has the same request id, so it must not arrive here.
         val excluded = request.usedConnections
@@ -66,6 +68,7 @@
 
     private fun onUnreachable(error: EndpointUnreachable) {
         if (isEnded) return
+        observation.onUnreachable()
         finish()
         request.onUnreachable(endpoint, error.reason)
     }
@@ -79,6 +82,7 @@
         val message = context.messages.request(plan, endpoint.listed.id, budget, lastEventId)
         val sent = AttemptTrace(request.onSent(opened.number), opened.number, now)
         trace = sent
+        observation.onSent(now)
         val kind = if (lastEventId != null) {
             "resume"
         } else if (isRetry) {
@@ -112,6 +116,13 @@
         scheduleStallCheck(firstResponseLimit())
     }
 
+    /** Ends the attempt, as the deadline has passed or the caller has gone. */
+    fun giveUp(isDeadline: Boolean) {
+        if (isEnded) return
+        observation.onGivenUp(events, context.clock.monotonicMilliseconds(), isDeadline)
+        cancel()
+    }
+
     /** Resets the connection, so that the endpoint stops running the request. */
     fun cancel() {
         if (isEnded) return
@@ -122,6 +133,7 @@
     /** Stops reading, because the caller reads too slowly. The endpoint is not considered silent meanwhile. */
     fun pauseReading() {
         isReadingPaused = true
+        observation.isPaused = true
         connection?.channel?.config()?.isAutoRead = false
     }
 
@@ -195,6 +207,7 @@
 
     private fun abort(reason: String) {
         connection?.reset()
+        observation.ignore()
         onFailure(reason)
     }
 
@@ -245,6 +258,7 @@
         val status = head.status()
         val isNotRun = status == HttpResponseStatus.MISDIRECTED_REQUEST ||
             head.headers().contains(context.headers.notRun)
+        if (!isNotRun) observation.onResponse(status.code(), context.clock.monotonicMilliseconds())
         finish()
         if (isNotRun) return request.onRejected(endpoint, status)
         if (status == HttpResponseStatus.OK) {
@@ -256,6 +270,7 @@
     }
 
     private fun onStreamEnd(head: HttpResponse) {
+        observation.onStreamEnd(events, firstEventAt, lastEventAt)
         finish()
         noteAnswering()
         if (!isResumed) {
@@ -267,6 +282,7 @@
 
     override fun onFailure(reason: String) {
         if (isEnded) return
+        observation.onFailure(isLost = connection?.isLost == true)
         finish()
         request.onLost(endpoint, reason, LostAttempt(events, elapsed(), isAnswering))
     }
@@ -307,6 +323,7 @@
             scheduleStallCheck(limit)
             return
         }
+        observation.onSilent()
         finish()
         connection?.reset()
         request.onStalled(endpoint, "silent for $silence ms")
@@ -317,6 +334,7 @@
         stallTimer?.cancel(false)
         updateBufferedBytes(0)
         endpoint.recordEnded(pendingPrefillTokens)
+        observation.ignore()
         resumeReading()
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -1,6 +1,7 @@
 package org.guavahatch.gateway.request
 
 import io.netty.channel.EventLoop
+import org.guavahatch.gateway.control.RolloutControl
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.model.identity.EndpointId
@@ -49,6 +50,9 @@
     /** Expected time from the send of a request to its first event. */
     val firstEvents: FirstEventForecast = FirstEventForecast()
 
+    /** Rollouts, which limit the sends to some endpoints; null if there are none. */
+    var rollouts: RolloutControl? = null
+
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
 
@@ -70,10 +74,12 @@
 
     private val freeSlots: Int get() {
         val now = clock.monotonicMilliseconds()
-        return endpoints.values.filter { !it.isClosed }.sumOf { it.freeSlotsAt(now) }
+        return candidates().serving.filter { !it.isClosed }.sumOf { it.freeSlotsAt(now) }
     }
 
-    private val slots: Int get() = endpoints.values.filter { !it.isClosed }.sumOf { it.listed.slots }
+    private val slots: Int get() = candidates().serving.filter { !it.isClosed }.sumOf { it.listed.slots }
+
+    private fun candidates() = RolloutCandidates(rollouts?.find(name), endpoints.values)
 
     /** Counts [active] as a new request and queues it. */
     fun submit(active: ActiveRequest) {
@@ -199,12 +205,16 @@
     /** Sends the first queued request that an endpoint can take; false if there is none. */
     private fun dispatchNext(): Boolean {
         val now = clock.monotonicMilliseconds()
-        val free = endpoints.values.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
+        val candidates = candidates()
+        val free = candidates.serving.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
         val (request, endpoint) = queue.candidates(now)
             .filter { activeRequests[it.sequence]?.let { active -> maySend(active, now) } == true }
             .takeWhile { reserve.mayUse(free, slots, it.order) }
-            .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
+            .firstNotNullOfOrNull { request ->
+                val route = activeRequests.getValue(request.sequence).plan.route.name
+                candidates.choose(chooser, request, route, now)?.let { request to it }
+            }
             ?: return false
         send(request, endpoint, now)
         return true
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -4,6 +4,7 @@
 import org.guavahatch.gateway.ByteBudget
 import org.guavahatch.gateway.GatewayHeaders
 import org.guavahatch.gateway.control.QuarantineControl
+import org.guavahatch.gateway.control.RolloutControl
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.endpoint.ProcessEndDetector
 import org.guavahatch.gateway.observation.DecisionLog
@@ -20,6 +21,7 @@
  * @property connector opens and pools connections to endpoints
  * @property processEnds detects endpoints whose process has ended
  * @property quarantine requests that must not be sent because their prompts end endpoints
+ * @property rollouts rollouts, which limit the sends to a version and judge its answers
  * @property ledger quota use of client accounts
  * @property permissions what accepted requests may still do
  * @property bufferedResponses budget for the bytes of incomplete responses
@@ -33,6 +35,7 @@
     val connector: EndpointConnector,
     val processEnds: ProcessEndDetector,
     val quarantine: QuarantineControl,
+    val rollouts: RolloutControl,
     val ledger: AccountLedger,
     val permissions: RequestPermissions,
     val bufferedResponses: ByteBudget,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -2,6 +2,7 @@
 
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.quarantine.QuarantineReport
+import org.guavahatch.scheduling.rollout.RolloutReport
 
 /**
  * The registered gateways and the latest report of each.
@@ -101,6 +102,7 @@
  * @property waiting waiting requests of the highest priority, by pool
  * @property changedUse [AccountReport.use] of the accounts whose use has changed since the last message with [accounts]
  * @property quarantine what the gateway tells of prompt parts that end endpoints
+ * @property rollouts what the gateway tells of rollouts
  */
 public data class PeerReport(
     public val name: String,
@@ -112,6 +114,7 @@
     public val waiting: Map<String, WaitingReport>,
     public val changedUse: Map<String, Long> = emptyMap(),
     public val quarantine: QuarantineReport = QuarantineReport(),
+    public val rollouts: List<RolloutReport> = emptyList(),
 )
 
 /**
