--- a/cli/src/main/kotlin/org/guavahatch/cli/Commands.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/Commands.kt
@@ -10,6 +10,7 @@
 import org.guavahatch.cli.command.HistoryCommand
 import org.guavahatch.cli.command.PublishCommand
 import org.guavahatch.cli.command.RollbackCommand
+import org.guavahatch.cli.command.RolloutsCommand
 import org.guavahatch.cli.command.ShowCommand
 import org.guavahatch.cli.command.StatusCommand
 import org.guavahatch.cli.command.UndrainCommand
@@ -30,6 +31,7 @@
         "drain" to Entry("takes an endpoint out of service") { DrainCommand() },
         "undrain" to Entry("puts an endpoint back into service") { UndrainCommand() },
         "status" to Entry("shows the readiness and configuration of processes") { StatusCommand() },
+        "rollouts" to Entry("shows the rollouts of a gateway") { RolloutsCommand() },
         "claims" to Entry("lists claims without an outcome") { ClaimsCommand() },
         "hash-key" to Entry("hashes a client key for the configuration") { HashKeyCommand() },
         "load" to Entry("generates load and measures the answers") { LoadCommand() },
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakEndpoints.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/SoakEndpoints.kt
@@ -34,10 +34,13 @@
     @Volatile
     var isStuttering = false
 
-    /** Handles one request. A rejection is sent once more before the next response on its connection. */
-    fun serve(reply: EndpointReply) {
+    /**
+     * Handles one request, and fails at random if [isFailing]. A rejection is sent once more before the next response
+     * on its connection.
+     */
+    fun serve(reply: EndpointReply, isFailing: Boolean = failsRequests) {
         stutter.writeOwed(reply)
-        val draw = synchronized(random) { random.nextInt(PERCENT) }.takeIf { failsRequests } ?: PERCENT
+        val draw = synchronized(random) { random.nextInt(PERCENT) }.takeIf { isFailing } ?: PERCENT
         if (draw < REJECTED_LIMIT) {
             val rejection = record(reply, UNAVAILABLE, isRejection = true)
             stutter.owe(reply.request, rejection)
--- a/daemon/src/test/kotlin/org/guavahatch/daemon/settings/SettingsMergeTest.kt
+++ b/daemon/src/test/kotlin/org/guavahatch/daemon/settings/SettingsMergeTest.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
 import org.guavahatch.gateway.settings.RolloutSettings
 import kotlin.io.path.createTempFile
 import kotlin.io.path.writeText
@@ -30,7 +31,7 @@
     @Test
     fun `a setting of the variable replaces exactly the one of the file`() = merges.forEach { case ->
         val merged = SettingsMerge.merge("file", case.file, case.overlay)
-        assertEquals(Either.Right(Json.parseToJsonElement(case.merged)), merged, case.name)
+        assertEquals<JsonElement?>(Json.parseToJsonElement(case.merged), merged.getOrNull(), case.name)
     }
 
     @Test
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -202,7 +202,17 @@
     private fun review() {
         detectGap()
         reviewedAt = clock.monotonicMilliseconds()
-        tracked.values.toList().filter { !it.rollout.isEndStored }.forEach(::review)
+        tracked.values.toList().filter { !it.rollout.isEndStored }.forEach(::reviewOrLog)
+    }
+
+    /** An exception would end the reviews of all pools. */
+    private fun reviewOrLog(current: TrackedRollout) = try {
+        review(current)
+    } catch (exception: RuntimeException) {
+        log.write("rollout.failed") {
+            put("pool", current.rollout.order.pool)
+            put("reason", exception.toString())
+        }
     }
 
     private fun review(current: TrackedRollout) {
