--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/DurationBuckets.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/DurationBuckets.kt
@@ -19,6 +19,8 @@
         return ceil(log2(milliseconds) * BUCKETS_PER_OCTAVE).toInt().coerceAtMost(COUNT - 1)
     }
 
-    /** Returns the longest duration in milliseconds that belongs to bucket [index]. */
-    public fun upperBound(index: Int): Double = 2.0.pow(index.toDouble() / BUCKETS_PER_OCTAVE)
+    /** Returns a duration in milliseconds from the middle of bucket [index]. */
+    public fun middleOf(index: Int): Double = 2.0.pow((index - HALF) / BUCKETS_PER_OCTAVE)
+
+    private const val HALF = 0.5
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceKey.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceKey.kt
@@ -6,7 +6,4 @@
  * @property route name of the route
  * @property isTarget whether the answers came from endpoints of the target version
  */
-public data class EvidenceKey(
-    public val route: String,
-    public val isTarget: Boolean,
-)
+public data class EvidenceKey(public val route: String, public val isTarget: Boolean)
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceLedger.kt
@@ -0,0 +1,82 @@
+package org.guavahatch.scheduling.rollout
+
+import kotlinx.collections.immutable.toImmutableMap
+import org.guavahatch.model.time.Clock
+
+/** Adds up the answers that this gateway saw and those that its peers reported, by gateway lifetime. */
+internal class EvidenceLedger(private val clock: Clock) {
+    private val own = HashMap<EvidenceKey, CountVector>()
+    private val reported = HashMap<Lifetime, Map<EvidenceKey, EvidenceCounts>>()
+    private val told = HashMap<EvidenceKey, EvidenceCounts>()
+    private val lostAt = HashMap<String, Long>()
+
+    /** Sum over all gateway lifetimes. */
+    val total: Map<EvidenceKey, CountVector> get() = sums
+    private val sums = HashMap<EvidenceKey, CountVector>()
+
+    /** Counts [answer]; [endpointBucket] is the bucket of its endpoint, or null if that is not in the sample. */
+    fun record(answer: RolloutAnswer, isTarget: Boolean, endpointBucket: Int?) {
+        if (answer.result == AnswerResult.LOST && !isFirstLossInSecond(answer.endpoint.value)) return
+        val key = keyOf(answer.route, isTarget)
+        listOf(own, sums).forEach { counts ->
+            val vector = counts.getOrPut(key, ::CountVector)
+            vector.recordResult(answer.result)
+            if (answer.result == AnswerResult.SUCCESS) recordDurations(vector, answer, endpointBucket)
+        }
+    }
+
+    private fun recordDurations(vector: CountVector, answer: RolloutAnswer, endpointBucket: Int?) {
+        val first = answer.firstEventMilliseconds
+        val interval = answer.eventIntervalMilliseconds?.takeIf { it.isFinite() }
+        first?.let { vector.recordDuration(CountVector.Histogram.FIRST_EVENT, it.toDouble()) }
+        interval?.let { vector.recordDuration(CountVector.Histogram.EVENT_INTERVAL, it) }
+        if (endpointBucket != null && (first != null || interval != null)) vector.recordEndpoint(endpointBucket)
+    }
+
+    /** The crash of one process loses many requests at once. */
+    private fun isFirstLossInSecond(endpoint: String): Boolean {
+        val now = clock.monotonicMilliseconds()
+        if (lostAt[endpoint]?.let { now - it < LOSS_INTERVAL } == true) return false
+        lostAt[endpoint] = now
+        return true
+    }
+
+    private fun keyOf(route: String, isTarget: Boolean): EvidenceKey {
+        val key = EvidenceKey(route, isTarget)
+        val isKnown = key in own || EvidenceKey(route, !isTarget) in own
+        return if (isKnown || own.size < 2 * MAXIMUM_ROUTES) key else EvidenceKey(OTHER_ROUTES, isTarget)
+    }
+
+    /** Replaces what [lifetime] has reported; returns false if [evidence] is older than that. */
+    fun merge(lifetime: Lifetime, evidence: Map<EvidenceKey, EvidenceCounts>): Boolean {
+        val known = reported[lifetime].orEmpty()
+        if (evidence.values.sumOf { it.answers } < known.values.sumOf { it.answers }) return false
+        val newer = evidence.entries.take(MAXIMUM_REPORTED_KEYS).associate { it.key to it.value }
+        (known.keys + newer.keys).forEach { key ->
+            val (before, after) = known[key] to newer[key]
+            if (before == after) return@forEach
+            val sum = sums.getOrPut(key, ::CountVector)
+            before?.let { sum.add(it, factor = -1) }
+            after?.let { sum.add(it) }
+        }
+        reported[lifetime] = newer
+        return true
+    }
+
+    /** Counts of this gateway. Lists are built again only for what has changed since the last report. */
+    fun ownCounts(): Map<EvidenceKey, EvidenceCounts> {
+        own.forEach { (key, vector) -> if (told[key]?.answers != vector.answers) told[key] = vector.toCounts() }
+        return told.toImmutableMap()
+    }
+
+    /** One run of the process of [gateway]. */
+    data class Lifetime(val gateway: String, val incarnation: String)
+
+    companion object {
+        /** Routes that are told apart; a limit on memory and on the size of datagrams. */
+        const val MAXIMUM_ROUTES = 32
+        private const val MAXIMUM_REPORTED_KEYS = 2 * MAXIMUM_ROUTES + 2
+        private const val OTHER_ROUTES = ""
+        private const val LOSS_INTERVAL = 1_000L
+    }
+}
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
@@ -0,0 +1,68 @@
+package org.guavahatch.scheduling.rollout
+
+import kotlin.random.Random
+
+/**
+ * Limits the sends of this gateway to the target version so that all gateways together keep to [limits], even if they
+ * do not hear of each other.
+ *
+ * The share is taken of each route, so that each route is observed. Whole requests are rounded at random with offsets
+ * drawn once: with many gateways, rounding down at each of them would leave most of the exposure unused.
+ */
+internal class ExposureLimit(
+    private val limits: RolloutLimits,
+    private val random: Random,
+    private val isRecentlyStarted: Boolean,
+) {
+    private val routes = HashMap<String, RouteSends>()
+    private val offset = random.nextDouble()
+    private var gateways = 0
+    private var sends = 0L
+
+    /** Sends to the target version. */
+    var targetSends = 0L
+        private set
+
+    /** Divides the slack by the largest number of gateways seen, as a gateway that is gone may have used its part. */
+    fun updateGateways(registered: Int) {
+        gateways = maxOf(gateways, registered)
+    }
+
+    fun recordSend(route: String, isTarget: Boolean) {
+        val sent = routeSends(route)
+        sends++
+        sent.sends++
+        if (!isTarget) return
+        targetSends++
+        sent.targetSends++
+    }
+
+    /** Whether the share of [route] and of the whole pool allow one more send to the target version. */
+    fun allowsTarget(route: String): Boolean {
+        if (targetSends + 1 > share * sends + slackPart + (if (isRecentlyStarted) 0.0 else offset)) return false
+        // Without sends of the route its rounding offset is not drawn yet, as this must be free of side effects.
+        val sent = routes[route] ?: return false
+        return sent.targetSends + 1 <= share * sent.sends + slackPart * sent.sends / sends + sent.offset
+    }
+
+    private val share get() = limits.exposureShare * USED_SHARE
+
+    private val slackPart: Double
+        get() = if (isRecentlyStarted || gateways == 0) 0.0 else limits.exposureSlack * USED_SLACK / gateways
+
+    private fun routeSends(route: String) = routes[route]
+        ?: RouteSends(random.nextDouble()).also { if (routes.size < EvidenceLedger.MAXIMUM_ROUTES) routes[route] = it }
+
+    private class RouteSends(val offset: Double) {
+        var sends = 0L
+        var targetSends = 0L
+    }
+
+    private companion object {
+        /** The limit is a share of requests, but sends are counted, of which retries make more; the rest covers them. */
+        const val USED_SHARE = 0.8
+
+        /** The other half of the slack covers the random rounding and requests that are sent when a verdict falls. */
+        const val USED_SLACK = 0.5
+    }
+}
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -16,12 +16,11 @@
  * @property random source of random rounding
  * @property isRecentlyStarted whether the gateway may have run before with the same order; it then gets no slack
  */
-@Suppress("UnusedPrivateProperty", "UNUSED_PARAMETER")
 public class PoolRollout(
     order: RolloutOrder,
     private val limits: RolloutLimits,
     private val clock: Clock,
-    private val random: Random,
+    random: Random,
     private val isRecentlyStarted: Boolean,
 ) {
     /** The order that is carried out; replaced only by [continueWith]. */
@@ -40,30 +39,100 @@
     public var isEndStored: Boolean = false
         private set
 
+    private val exposure = ExposureLimit(limits, random, isRecentlyStarted)
+    private val endpoints = PoolEndpoints(order.targetVersion)
+    private var canaries = CanarySelection(limits.exposureShare, order.revision)
+    private val ledger = EvidenceLedger(clock)
+    private val slices = EvidenceSlices()
+    private val peers = PeerPhases(clock)
+    private val firstRevision = order.revision
+    private var times = RolloutTimes(order.durationMilliseconds)
+    private var judge = RolloutJudge(order.durationMilliseconds)
+    private var startedAt = clock.monotonicMilliseconds()
+    private var gateways = 1
+    private var knowsPhase = false
+    private var unknownSince = startedAt
+    private var peersTrustedFrom = startedAt
+    private var recordHeardAt: Long? = null
+    private var reviewedAt: Long? = null
+    private var ownOpenOnPrevious: Int? = null
+    private var recordedPrevious: Set<String> = emptySet()
+
     /**
      * Replaces the order by a [newer] one to the same version, with the same counters. Returns false if this is
      * impossible, as the rollout has ended or the version differs; the caller then creates another [PoolRollout].
      */
-    public fun continueWith(newer: RolloutOrder): Boolean = false
+    public fun continueWith(newer: RolloutOrder): Boolean {
+        val isSame = newer.pool == order.pool && newer.targetVersion == order.targetVersion
+        if (phase.isEnd || !isSame || newer.revision <= order.revision) return false
+        order = newer
+        times = RolloutTimes(newer.durationMilliseconds)
+        judge = RolloutJudge(newer.durationMilliseconds)
+        canaries = CanarySelection(limits.exposureShare, newer.revision)
+        canaries.update(endpoints.target, endpoints.previous)
+        startedAt = clock.monotonicMilliseconds()
+        recordHeardAt = null
+        peers.clear()
+        forgetPhase(startedAt)
+        enter(RolloutPhase.RUNNING, "")
+        return true
+    }
 
     /** Replaces the list of the pool's endpoints. Other pools' endpoints are ignored. */
     public fun updateEndpoints(listed: Collection<ListedEndpoint>) {
+        endpoints.update(listed.filter { it.pool == order.pool })
+        canaries.update(endpoints.target, endpoints.previous)
     }
 
     /** Sets the number of gateways, including this one, that share the slack. */
     public fun updateGateways(registered: Int) {
+        gateways = registered
+        exposure.updateGateways(registered)
     }
 
-    /** Adopts [record], read or written [elapsedMilliseconds] after the start of the rollout by the store's clock. */
+    /**
+     * Adopts [record], read or written [elapsedMilliseconds] after the start of the rollout by the store's clock.
+     * The record of an older order is ignored. That of a newer one stops sends to the target version.
+     */
     public fun onRecord(record: RolloutRecord, elapsedMilliseconds: Long) {
+        val now = clock.monotonicMilliseconds()
+        if (record.order.pool != order.pool || record.order.revision < order.revision) return
+        if (record.order.revision > order.revision) return forgetPhase(now)
+        startedAt = now - elapsedMilliseconds
+        recordHeardAt = now
+        knowsPhase = true
+        recordedPrevious = record.previousVersions
+        val isAhead = record.phase == RolloutPhase.PROMOTING && phase == RolloutPhase.RUNNING
+        if (record.phase != phase && (record.phase.isEnd || isAhead)) enter(record.phase, FROM_RECORD)
+        isEndStored = record.phase.isEnd
     }
 
     /** Notes that the process did not run for some time, so that what it knows may be out of date. */
     public fun onClockGap() {
+        val now = clock.monotonicMilliseconds()
+        forgetPhase(now)
+        // Datagrams that arrived before the gap ended are handled first.
+        peersTrustedFrom = now + REPORT_INTERVAL
+        reviewedAt = now
+    }
+
+    private fun forgetPhase(now: Long) {
+        knowsPhase = false
+        unknownSince = now
     }
 
     /** Merges [report] of the lifetime [incarnation] of [gateway]. Late and repeated reports have no effect. */
     public fun mergePeer(gateway: String, incarnation: String, report: RolloutReport) {
+        if (report.pool != order.pool || report.targetVersion != order.targetVersion) return
+        if (report.revision !in firstRevision..order.revision) return
+        val isCurrent = ledger.merge(EvidenceLedger.Lifetime(gateway, incarnation), report.evidence)
+        val now = clock.monotonicMilliseconds()
+        if (!isCurrent || report.revision != order.revision || now < peersTrustedFrom) return
+        if (report.reason == UNKNOWN_PHASE) return
+        peers.record(gateway, report)
+        knowsPhase = true
+        // Of two ends that are heard, the first one stays until the record tells which one stands.
+        if (!phase.isEnd && report.phase > phase) enter(report.phase, report.reason)
     }
 
     /** Whether [endpoint] has the target version. */
@@ -74,22 +143,72 @@
      * the caller first chooses among the candidates for which [isTarget] and [mayUse] hold, and among the others for
      * which [mayUse] holds if these cannot take it. Without side effects.
      */
-    public fun isTargetDue(route: String): Boolean = false
+    public fun isTargetDue(route: String): Boolean = when (phase) {
+        RolloutPhase.RUNNING -> isNothingToMove || (mayTest() && exposure.allowsTarget(route))
+        RolloutPhase.PROMOTING, RolloutPhase.COMPLETED -> true
+        RolloutPhase.ROLLED_BACK -> false
+    }
 
     /** Whether the next request of [route] may be sent to [endpoint]. Without side effects. */
-    public fun mayUse(route: String, endpoint: ListedEndpoint): Boolean = true
+    public fun mayUse(route: String, endpoint: ListedEndpoint): Boolean = when (phase) {
+        RolloutPhase.RUNNING -> !isTarget(endpoint) || isNothingToMove || (isTargetDue(route) && isCanary(endpoint))
+        RolloutPhase.PROMOTING -> mayUseWhilePromoting(endpoint)
+        RolloutPhase.COMPLETED -> isTarget(endpoint)
+        RolloutPhase.ROLLED_BACK -> !isTarget(endpoint)
+    }
 
-    /** Records a send to the pool: a first send, a retry, or a resumed stream. */
-    public fun recordSend(route: String, endpoint: ListedEndpoint) {
+    private fun isCanary(endpoint: ListedEndpoint) = endpoint.id in canaries.canaries(elapsed(), times.verdictAfter)
+
+    private fun mayUseWhilePromoting(endpoint: ListedEndpoint): Boolean {
+        if (mayTest()) return isTarget(endpoint) || endpoints.target.isEmpty()
+        // The rollout may have been completed meanwhile, and old endpoints get no request then.
+        val isHeldBack = clock.monotonicMilliseconds() - maxOf(unknownSince, reviewedAt ?: 0) <= HOLD_BACK
+        return !isTarget(endpoint) && !isHeldBack
     }
 
+    /** Whether what this gateway knows of the rollout is recent enough to send requests to the target version. */
+    private fun mayTest() = knowsPhase &&
+        !hasMissedReviews() &&
+        !(isIsolated() && elapsed() >= times.limit) &&
+        (phase != RolloutPhase.RUNNING || elapsed() < times.limit)
+
+    private fun hasMissedReviews() = reviewedAt?.let { clock.monotonicMilliseconds() - it > LONGEST_GAP } == true
+
+    /** Whether neither the store nor any peer was heard lately, although there are peers. */
+    private fun isIsolated(): Boolean {
+        val heardAt = listOfNotNull(recordHeardAt, peers.heardAt).maxOrNull() ?: startedAt
+        return gateways > 1 && clock.monotonicMilliseconds() - heardAt > ISOLATED_AFTER
+    }
+
+    private fun elapsed() = clock.monotonicMilliseconds() - startedAt
+
+    /**
+     * Whether all endpoints already have the target version. An old side that was lost during the rollout is another
+     * case; a gateway that started lately cannot tell them apart before it reads the record.
+     */
+    private val isNothingToMove: Boolean
+        get() = endpoints.target.isNotEmpty() &&
+            !endpoints.hasHadPrevious &&
+            recordedPrevious.isEmpty() &&
+            (knowsPhase || !isRecentlyStarted)
+
+    /** Records a send to the pool: a first send, a retry, or a resumed stream. */
+    public fun recordSend(route: String, endpoint: ListedEndpoint): Unit =
+        exposure.recordSend(route, isTarget(endpoint))
+
     /** Records how a send ended. */
     public fun recordAnswer(answer: RolloutAnswer) {
+        val isTarget = answer.version == order.targetVersion
+        ledger.record(answer, isTarget, if (isTarget) null else endpoints.bucketOf(answer.endpoint))
     }
 
     /** Returns the report for peers; [openOnPrevious] is the number of own requests open on the old side. */
-    public fun report(openOnPrevious: Int): RolloutReport =
-        RolloutReport(order.pool, order.targetVersion, order.revision, phase, reason, openOnPrevious, emptyMap())
+    public fun report(openOnPrevious: Int): RolloutReport {
+        ownOpenOnPrevious = openOnPrevious
+        val told = if (knowsPhase || phase.isEnd) reason else UNKNOWN_PHASE
+        val evidence = ledger.ownCounts()
+        return RolloutReport(order.pool, order.targetVersion, order.revision, phase, told, openOnPrevious, evidence)
+    }
 
     /**
      * Evaluates the evidence and the time limit; to be called about every 100 ms. Returns the change of phase that this
@@ -97,5 +216,76 @@
      *
      * @param peersOpenOnPrevious requests of peers that are open on endpoints of the old side
      */
-    public fun review(peersOpenOnPrevious: Int): RolloutTransition? = null
+    public fun review(peersOpenOnPrevious: Int): RolloutTransition? {
+        val now = clock.monotonicMilliseconds()
+        if (hasMissedReviews()) onClockGap()
+        reviewedAt = now
+        val evidence = RolloutJudge.Evidence(slices.update(ledger.total, now), ledger.total, endpoints.previousBuckets)
+        val transition = decide(evidence, peersOpenOnPrevious) ?: return null
+        enter(transition.phase, transition.reason)
+        return transition
+    }
+
+    private fun decide(evidence: RolloutJudge.Evidence, peersOpenOnPrevious: Int): RolloutTransition? {
+        if (phase.isEnd) return null
+        if (isNothingToMove) return RolloutTransition(RolloutPhase.COMPLETED, "nothing-to-move", "")
+        if (!knowsPhase) return null
+        judge.findBad(evidence)?.let { return RolloutTransition(RolloutPhase.ROLLED_BACK, it.reason, it.evidence) }
+        if (isIsolated()) return null
+        return if (phase == RolloutPhase.RUNNING) decideRunning(evidence) else decidePromoting(peersOpenOnPrevious)
+    }
+
+    private fun decideRunning(evidence: RolloutJudge.Evidence): RolloutTransition? {
+        if (elapsed() < times.verdictAfter) return null
+        val answers = evidence.targetAnswers
+        val suspicion = judge.findSuspicion(evidence)
+        val figures = "$answers answers of the target" + suspicion?.let { "; ${it.reason}, ${it.evidence}" }.orEmpty()
+        val isGood = answers >= LEAST_ANSWERS && suspicion == null && endpoints.target.isNotEmpty()
+        return when {
+            elapsed() >= times.endAfter -> RolloutTransition(RolloutPhase.ROLLED_BACK, "time-limit", figures)
+            isGood -> RolloutTransition(RolloutPhase.PROMOTING, "good", figures)
+            else -> null
+        }
+    }
+
+    private fun decidePromoting(peersOpenOnPrevious: Int): RolloutTransition? {
+        val isDrained = ownOpenOnPrevious == 0 && peersOpenOnPrevious == 0 && peers.haveLeftPrevious()
+        return when {
+            isDrained -> RolloutTransition(RolloutPhase.COMPLETED, "drained", "")
+            elapsed() >= times.endAfter -> RolloutTransition(
+                RolloutPhase.COMPLETED,
+                "time-limit",
+                "open on the old side: own $ownOpenOnPrevious, peers $peersOpenOnPrevious",
+            )
+            else -> null
+        }
+    }
+
+    private fun enter(next: RolloutPhase, cause: String) {
+        phase = next
+        reason = cause
+        ownOpenOnPrevious = null
+    }
+
+    private companion object {
+        const val FROM_RECORD = "record"
+
+        /** Reason in reports of a gateway that does not know the phase itself. */
+        const val UNKNOWN_PHASE = "unknown-phase"
+
+        /** Fewer answers show neither failures of 1 in 10 nor slowness. */
+        const val LEAST_ANSWERS = 30L
+
+        /** Peers report each 200 ms. */
+        const val REPORT_INTERVAL = 200L
+
+        /** A gateway that missed ten reviews may have missed a rollback. */
+        const val LONGEST_GAP = 1_000L
+
+        /** Time in which a record is read and several reports arrive. */
+        const val HOLD_BACK = 1_000L
+
+        /** Two reads of the record and ten reports of each peer. */
+        const val ISOLATED_AFTER = 2_000L
+    }
 }
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
@@ -0,0 +1,135 @@
+package org.guavahatch.scheduling.rollout
+
+import org.guavahatch.scheduling.rollout.CountVector.Histogram
+import kotlin.math.ln
+
+/**
+ * Judges the target version by the answers of all gateways.
+ *
+ * @param durationMilliseconds time limit of the rollout, which determines how often the evidence is judged
+ */
+internal class RolloutJudge(durationMilliseconds: Long) {
+    private val looks = maxOf(1L, durationMilliseconds / REVIEW_INTERVAL)
+
+    /**
+     * A finding against the target version.
+     *
+     * @property reason `failures` or `slow`
+     * @property evidence the figures
+     */
+    class Finding(val reason: String, val evidence: String)
+
+    /** Evidence to be judged; [previousEndpoints] are the sample buckets of the old side's endpoints. */
+    class Evidence(
+        val slices: List<Map<EvidenceKey, CountVector>>,
+        val total: Map<EvidenceKey, CountVector>,
+        val previousEndpoints: List<Int>,
+    ) {
+        val routes = total.keys.filter { it.isTarget && total.getValue(it).answers > 0 }.map { it.route }.sorted()
+        val targetAnswers get() = routes.sumOf { total.getValue(EvidenceKey(it, isTarget = true)).answers }
+    }
+
+    /** Returns why the target version is bad, or null. Wrong once in 1,000 rollouts of good versions at most. */
+    fun findBad(evidence: Evidence): Finding? = find(evidence, WRONG_VERDICTS / looks)
+
+    /** Returns what makes the target version too doubtful for promotion, or null. */
+    fun findSuspicion(evidence: Evidence): Finding? = find(evidence, WRONG_VERDICTS)
+
+    private fun find(evidence: Evidence, chance: Double): Finding? {
+        val logChance = ln(chance / ((evidence.routes.size + 1) * MEASURES * WINDOWS.size))
+        return findFailures(evidence, logChance)
+            ?: Histogram.entries.firstNotNullOfOrNull { findSlowness(evidence, it, logChance) }
+    }
+
+    private fun findFailures(evidence: Evidence, logChance: Double): Finding? {
+        val all = strataOf(evidence) { slice, route -> failures(evidence, slice, route, isCrash = false) }
+        val withCrash = strataOf(evidence) { slice, route -> failures(evidence, slice, route, isCrash = true) }
+        val hasLoss = evidence.slices.map { slice -> slice.any { it.key.isTarget && it.value.lost > 0 } }
+        return WINDOWS.firstNotNullOfOrNull { window ->
+            val isCrash = hasLoss.takeLast(window).count { it } < LEAST_LOSS_SLICES
+            findIn(if (isCrash) withCrash else all, window, FAILURE_EFFECT, logChance)
+        }?.let { Finding("failures", it) }
+    }
+
+    private fun findSlowness(evidence: Evidence, histogram: Histogram, logChance: Double): Finding? {
+        val bounds = evidence.routes.associateWith { route ->
+            evidence.total[EvidenceKey(route, isTarget = false)]
+                ?.let { SlownessBound.lastBucket(it, histogram, evidence.previousEndpoints) }
+        }
+        val strata = strataOf(evidence) { slice, route ->
+            bounds[route]?.let { slow(evidence, slice, route, histogram, it) }
+        }
+        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, SLOWNESS_EFFECT, logChance) }
+            ?.let { Finding("slow", "$histogram, $it") }
+    }
+
+    private fun strataOf(evidence: Evidence, stratum: (Int, String) -> Stratum?): Map<String, List<Stratum?>> =
+        evidence.routes.associateWith { route -> evidence.slices.indices.map { stratum(it, route) } }
+
+    /** Returns the figures of the first route for which the target is worse in the last [window] slices, or null. */
+    private fun findIn(
+        strata: Map<String, List<Stratum?>>,
+        window: Int,
+        leastEffect: Double,
+        logChance: Double,
+    ): String? {
+        val recent = strata.mapValues { it.value.takeLast(window).filterNotNull() }
+        val groups = recent.map { (route, list) -> "route $route" to list } + ("all routes" to recent.values.flatten())
+        return groups.firstNotNullOfOrNull { (name, list) ->
+            val comparison = RateComparison(list)
+            if (comparison.isWorse(leastEffect, logChance)) "$name: ${comparison.describe()}" else null
+        }
+    }
+
+    /** With [isCrash], all losses in a slice count as one, as the crash of one process loses many requests. */
+    private fun failures(evidence: Evidence, slice: Int, route: String, isCrash: Boolean): Stratum? {
+        val counts = evidence.slices[slice]
+        val firstWithLoss = evidence.routes.firstOrNull { (counts[EvidenceKey(it, isTarget = true)]?.lost ?: 0) > 0 }
+        return stratum(evidence, slice, route) { vector, isTarget ->
+            val counted = if (route == firstWithLoss) 1L else 0L
+            val surplus = if (isTarget && isCrash) maxOf(0, vector.lost - counted) else 0
+            vector.answers - surplus to vector.failures + vector.lost - surplus
+        }
+    }
+
+    private fun slow(evidence: Evidence, slice: Int, route: String, histogram: Histogram, lastBucket: Int): Stratum? =
+        stratum(evidence, slice, route) { counts, _ ->
+            counts.countAfter(histogram, -1) to counts.countAfter(histogram, lastBucket)
+        }
+
+    /** Compares with the old side in the same slice, or with all its answers if that has too few. */
+    private fun stratum(
+        evidence: Evidence,
+        slice: Int,
+        route: String,
+        countsOf: (CountVector, Boolean) -> Pair<Long, Long>,
+    ): Stratum? {
+        val targetCounts = evidence.slices[slice][EvidenceKey(route, isTarget = true)] ?: return null
+        val (target, targetBad) = countsOf(targetCounts, true)
+        val key = EvidenceKey(route, isTarget = false)
+        val (previous, previousBad) = evidence.slices[slice][key]?.let { countsOf(it, false) } ?: (0L to 0L)
+        if (previous * 2 >= target) return Stratum(target, targetBad, previous, previousBad, isSimultaneous = true)
+        val (all, allBad) = evidence.total[key]?.let { countsOf(it, false) } ?: return null
+        return Stratum(target, targetBad, all, allBad, isSimultaneous = false)
+    }
+
+    private companion object {
+        const val REVIEW_INTERVAL = 100L
+
+        /** Half of the 1 in 1,000 that operators accept; the other half is for [findSuspicion]. */
+        const val WRONG_VERDICTS = 0.0005
+        const val MEASURES = 3
+
+        /** Numbers of latest slices that are judged together. */
+        val WINDOWS = listOf(2, 4, 8, 16, Int.MAX_VALUE)
+
+        /** The least difference that callers notice. */
+        const val FAILURE_EFFECT = 0.05
+
+        /** Larger than for failures, as endpoints of one pool differ in speed and load. */
+        const val SLOWNESS_EFFECT = 0.1
+
+        /** The crash of a single process is seen in one slice, or in two if the reports of it are late. */
+        const val LEAST_LOSS_SLICES = 3
+    }
+}
