--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -90,6 +90,7 @@
         val current = if (isContinued) previous!! else TrackedRollout(newRollout(order, settings, isAtStart))
         tracked[order.pool] = current
         current.changedAt = clock.monotonicMilliseconds()
+        current.loggedPhase = current.rollout.phase
         log.write("rollout.begun") {
             put("pool", order.pool)
             put("to", order.targetVersion)
@@ -217,7 +218,9 @@
 
     private fun review(current: TrackedRollout) {
         current.rollout.updateGateways(peers.gatewayCount)
-        val transition = current.rollout.review(peersOpenOnPrevious(current))
+        // Without peers nothing else tells the rollout how many requests are open on the old side.
+        current.rollout.report(openOnPrevious(current))
+        val transition = current.rollout.review(current.peersOpenOnPrevious(peers, clock.monotonicMilliseconds()))
         if (transition != null) {
             current.evidence = transition.evidence
             notePhase(current, "evidence")
@@ -226,10 +229,6 @@
         if (clock.monotonicMilliseconds() - current.readAt >= TrackedRollout.READ_MILLISECONDS) read(current)
     }
 
-    /** Requests on the old side, of this gateway and its peers; the rollout is complete when there are none. */
-    private fun peersOpenOnPrevious(current: TrackedRollout) =
-        openOnPrevious(current) + current.peersOpenOnPrevious(peers, clock.monotonicMilliseconds())
-
     /** A late review or a jump of the wall clock tells that the process was frozen, and may have missed a verdict. */
     private fun detectGap() {
         val now = clock.monotonicMilliseconds()
