--- a/cli/src/main/kotlin/org/guavahatch/cli/command/StatusCommand.kt
+++ b/cli/src/main/kotlin/org/guavahatch/cli/command/StatusCommand.kt
@@ -13,7 +13,7 @@
 /** Prints the readiness, the applied configuration, and the requests and peers of processes. */
 internal class StatusCommand : Command {
     @Argument(required = true, multiValued = true, metaVar = "URL...", usage = "admin addresses of processes")
-    private val urls: MutableList<String> = ArrayList()
+    private var urls: MutableList<String> = ArrayList()
 
     @Serializable
     private data class Status(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -141,11 +141,14 @@
         if (notePhase(current, "peer")) save(current)
     }
 
-    /** What the peers are to know. */
+    /** What the peers are to know. The end of a rollout is told to gateways that start later; its evidence is not. */
     fun reports(): List<RolloutReport> {
         val now = clock.monotonicMilliseconds()
-        return tracked.values.filter { !it.rollout.phase.isEnd || now - it.changedAt < ANNOUNCE_MILLISECONDS }
-            .map { it.rollout.report(openOnPrevious(it)) }
+        return tracked.values.map { current ->
+            val report = current.rollout.report(openOnPrevious(current))
+            val isOver = current.rollout.phase.isEnd && now - current.changedAt >= EVIDENCE_MILLISECONDS
+            if (isOver) report.copy(evidence = emptyMap()) else report
+        }
     }
 
     /** [endpoint] was added or has changed. */
@@ -294,7 +297,7 @@
         /** Longer than pauses for garbage collection at full load; the verdict of peers arrives in less. */
         const val MAXIMUM_REVIEW_DELAY_MILLISECONDS = 1_000L
 
-        /** Long enough for peers that were cut off for some time; later ones read the record. */
-        const val ANNOUNCE_MILLISECONDS = 60_000L
+        /** Time after the end of a rollout for which its evidence is told, to peers that were cut off meanwhile. */
+        const val EVIDENCE_MILLISECONDS = 60_000L
     }
 }
