--- a/cli/src/test/kotlin/org/guavahatch/cli/process/OperatorCommandTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/OperatorCommandTest.kt
@@ -29,7 +29,9 @@
 
     private val statusCases = listOf(
         Case({ listOf("http://127.0.0.1:$it") }, 0, listOf("entry-1  entry  ready")),
-        Case({ listOf("http://127.0.0.1:$it", "http://127.0.0.1:1") }, 3, listOf("entry-1", "127.0.0.1:1: not reached")),
+        Case({
+            listOf("http://127.0.0.1:$it", "http://127.0.0.1:1")
+        }, 3, listOf("entry-1", "127.0.0.1:1: not reached")),
         Case({ emptyList() }, 2, listOf("usage: guavahatch status")),
     )
 
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakFaults.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakFaults.kt
@@ -50,8 +50,7 @@
     /** Peers send their datagrams to an address where nobody listens. */
     private fun cut(gateway: SoakGateway) = deployment.store.put("gateways", gateway.name, NOWHERE)
 
-    private fun restore(gateway: SoakGateway) =
-        deployment.store.put("gateways", gateway.name, gateway.settings.control)
+    private fun restore(gateway: SoakGateway) = deployment.store.put("gateways", gateway.name, gateway.settings.control)
 
     private fun inject(description: String, inject: () -> Unit, repair: () -> Unit) {
         history += description
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
@@ -43,7 +43,12 @@
             val callers = SoakCallers(gateways.map { it.settings.callers }, seed)
             val faults = RolloutSoakFaults(deployment, gateways, Random(seed))
             try {
-                val isReady = Deployment.until { gateways.all { callers.call("ready", "read", it.settings.callers).status == 200 } }
+                val isReady = Deployment.until {
+                    gateways.all {
+                        callers.call("ready", "read", it.settings.callers).status ==
+                            200
+                    }
+                }
                 check(isReady) { "The gateways do not serve requests." }
                 callers.start()
                 val orderedAt = SoakEndpoints.now()
@@ -61,7 +66,9 @@
                 callers.stop()
                 val state = deployment.rolloutState()
                 val total = oldSends.size + newSends.size
-                println("rollout soak seed $seed: $state, ${newSends.size} of $total; ${faults.history.joinToString(", ")}")
+                println(
+                    "rollout soak seed $seed: $state, ${newSends.size} of $total; ${faults.history.joinToString(", ")}",
+                )
                 val end = endedAt.milliseconds ?: Long.MAX_VALUE
                 listOfNotNull(
                     "the state is $state".takeIf { state != if (isBad) "rolled_back" else "completed" },
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
@@ -74,7 +74,9 @@
     /** Whether all counts are there and none is negative. */
     val isValid: Boolean
         get() = counts.size >= COUNTS &&
-            listOf(counts, firstEventBuckets, eventIntervalBuckets, endpointBuckets).all { list -> list.all { it >= 0 } }
+            listOf(counts, firstEventBuckets, eventIntervalBuckets, endpointBuckets).all { list ->
+                list.all { it >= 0 }
+            }
 
     fun toCounts(): EvidenceCounts = EvidenceCounts(
         counts[0],
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
@@ -10,10 +10,7 @@
  *
  * @property rollout the rollout of the pool, or null
  */
-internal class RolloutCandidates(
-    private val rollout: PoolRollout?,
-    private val endpoints: Collection<EndpointState>,
-) {
+internal class RolloutCandidates(private val rollout: PoolRollout?, private val endpoints: Collection<EndpointState>) {
     private val candidatesByRoute = HashMap<String, List<EndpointState>>()
 
     /** The endpoints that requests of no particular route may use: the capacity that counts. */
