--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -17,6 +17,7 @@
  * @property stop time limit of a planned stop
  * @property endpoints limits for endpoints and their responses
  * @property requests limits of the requests that one gateway holds
+ * @property callerConnections limits of what one gateway buffers for its callers
  */
 @Serializable
 data class GatewaySettings(
@@ -32,6 +33,7 @@
     val stop: StopSettings,
     val endpoints: EndpointSettings,
     val requests: RequestSettings = RequestSettings(),
+    val callerConnections: CallerConnectionSettings = CallerConnectionSettings(),
 )
 
 /**
@@ -96,7 +98,15 @@
  * Limits of the requests that one gateway holds.
  *
  * @property maximumWaiting requests of one pool that may wait
- * @property maximumBodyBytes bytes of request bodies that may be buffered
+ * @property maximumBodyBytes bytes of request bodies that may be buffered, complete or not; at most a third of the heap
  */
 @Serializable
 data class RequestSettings(val maximumWaiting: Int = 2_000, val maximumBodyBytes: Long = 48L * 1024 * 1024)
+
+/**
+ * Limits of what one gateway buffers for its callers.
+ *
+ * @property maximumUnreadBytes bytes of answers that all callers together have not read yet
+ */
+@Serializable
+data class CallerConnectionSettings(val maximumUnreadBytes: Long = 8L * 1024 * 1024)
