--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -23,6 +24,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
 import org.guavahatch.gateway.http.RequestHeadSyntax
+import org.guavahatch.gateway.request.GatewayResponses
 import org.guavahatch.model.time.Clock
 
 /**
@@ -39,7 +41,9 @@
     private val postponed = ArrayDeque<HttpObject>()
     private var head: HttpRequest? = null
     private var headReceivedAt = 0L
-    private var body: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var body = RequestBody(acceptor.bodies, null)
+    private var postponedBytes = 0L
+    private var lingeringSince: Long? = null
     private var activeReply: Reply? = null
     private var isClosing = false
 
@@ -57,6 +61,7 @@
      * requests; a new connection gets some time for its first request, and a slow caller for the end of its response.
      */
     fun closeIfIdle(isStopping: Boolean) {
+        lingeringSince?.let { return closeAfterLingering(it, isStopping) }
         if (activeReply != null || (isStopping && isWriting)) return
         val limits = acceptor.limits
         val limit = if (head != null) limits.headerTimeoutMilliseconds else limits.idleTimeoutMilliseconds
@@ -67,6 +72,11 @@
         if (isExpired || (isStopping && isUnused)) context.close()
     }
 
+    private fun closeAfterLingering(since: Long, isStopping: Boolean) {
+        val limit = if (isStopping) STOP_LINGER_MILLISECONDS else LINGER_MILLISECONDS
+        if (clock.monotonicMilliseconds() - since > limit) context.close()
+    }
+
     /** Refuses the request that is being read, if there is one. */
     fun refuseIncomplete() {
         if (head != null) refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
@@ -86,9 +96,22 @@
 
     private fun postpone(message: HttpObject) {
         postponed.addLast(message)
-        if (postponed.size >= MAXIMUM_POSTPONED_MESSAGES) context.channel().config().isAutoRead = false
+        val bytes = postponedBytes(message)
+        postponedBytes += bytes
+        acceptor.bodies.add(bytes)
+        val isFull = postponed.size >= MAXIMUM_POSTPONED_MESSAGES || postponedBytes >= MAXIMUM_POSTPONED_BYTES
+        if (isFull || !acceptor.bodies.hasRoomFor(0, 0)) context.channel().config().isAutoRead = false
+    }
+
+    private fun takePostponed(): HttpObject = postponed.removeFirst().also {
+        val bytes = postponedBytes(it)
+        postponedBytes -= bytes
+        acceptor.bodies.add(-bytes)
     }
 
+    private fun postponedBytes(message: HttpObject) =
+        (message as? HttpContent)?.content()?.readableBytes()?.toLong() ?: 0L
+
     private fun read(message: HttpObject) {
         if (message.decoderResult().isFailure) return refuseMalformed(message.decoderResult().cause())
         if (message is HttpRequest) readHead(message)
@@ -102,11 +125,12 @@
         if (isAmbiguous || !isOneRequest || hasUnknownCoding(request)) return refuse(HttpResponseStatus.BAD_REQUEST)
         val contentLength = HttpUtil.getContentLength(request, 0L)
         if (contentLength > acceptor.limits.maximumBodyBytes) return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        if (!acceptor.bodies.hasRoomFor(contentLength, 0)) return refuseBody(request)
         head = request
         hasReadRequest = true
         headReceivedAt = clock.monotonicMilliseconds()
         idleSince = headReceivedAt
-        body = if (contentLength > 0) context.alloc().buffer(contentLength.toInt()) else context.alloc().buffer(0)
+        body = RequestBody(acceptor.bodies, contentLength.takeIf { it > 0 })
         if (HttpUtil.is100ContinueExpected(request)) writeContinue()
     }
 
@@ -124,12 +148,10 @@
 
     private fun readBody(content: HttpContent) {
         idleSince = clock.monotonicMilliseconds()
-        val size = content.content().readableBytes()
-        if (body.readableBytes() + size > acceptor.limits.maximumBodyBytes) {
+        if (body.size + content.content().readableBytes() > acceptor.limits.maximumBodyBytes) {
             return refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         }
-        if (!acceptor.canBuffer(size)) return refuse(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        body.writeBytes(content.content())
+        if (!body.append(content.content())) return head?.let(::refuseBody) ?: Unit
         if (content is LastHttpContent) submit()
     }
 
@@ -138,8 +160,7 @@
         val reply = Reply(HttpUtil.isKeepAlive(request), request.method() == HttpMethod.HEAD)
         activeReply = reply
         head = null
-        val callerRequest = CallerRequest(request.method(), request.uri(), request.headers(), body, headReceivedAt)
-        body = Unpooled.EMPTY_BUFFER
+        val callerRequest = CallerRequest(request.method(), request.uri(), request.headers(), body.take(), headReceivedAt)
         val listener = acceptor.accept(callerRequest, reply)
         if (activeReply === reply) reply.listener = listener
     }
@@ -151,18 +172,34 @@
         )
     }
 
+    /** Responds to a request whose body finds no room. It was not passed on, so it never runs. */
+    private fun refuseBody(request: HttpRequest) =
+        refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, GatewayResponses.headers(acceptor.onBodyRefused(request)))
+
     /** Responds to a request that was not read completely, and closes, as the next request boundary is unknown. */
-    private fun refuse(status: HttpResponseStatus) {
+    private fun refuse(status: HttpResponseStatus, headers: HttpHeaders = GatewayResponses.headers(null)) {
         isClosing = true
         head = null
-        body.release()
-        body = Unpooled.EMPTY_BUFFER
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
-        response.headers().set(
-            HttpHeaderNames.CONTENT_LENGTH,
-            0,
-        ).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        body.discard()
+        val response = DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            status,
+            Unpooled.EMPTY_BUFFER,
+            headers,
+            EmptyHttpHeaders.INSTANCE,
+        )
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        context.channel().config().isAutoRead = true
+        context.writeAndFlush(response).addListener { if (it.isSuccess) linger() else context.close() }
+    }
+
+    /**
+     * Ends the output, and discards what the caller still sends. The system would reset a connection that is closed
+     * before its input is read, and the caller might lose the response.
+     */
+    private fun linger() {
+        lingeringSince = clock.monotonicMilliseconds()
+        (context.channel() as DuplexChannel).shutdownOutput()
     }
 
     private fun finish(reply: Reply, isKeptOpen: Boolean) {
@@ -174,7 +211,7 @@
         }
         check(reply.isEnded) { "The next request cannot be read before the reply has ended." }
         while (postponed.isNotEmpty() && activeReply == null && !isClosing) {
-            channelRead(context, postponed.removeFirst())
+            channelRead(context, takePostponed())
         }
         if (postponed.isEmpty()) context.channel().config().isAutoRead = true
     }
@@ -185,10 +222,8 @@
 
     override fun channelInactive(handlerContext: ChannelHandlerContext) {
         isClosing = true
-        postponed.forEach { ReferenceCountUtil.release(it) }
-        postponed.clear()
-        body.release()
-        body = Unpooled.EMPTY_BUFFER
+        while (postponed.isNotEmpty()) ReferenceCountUtil.release(takePostponed())
+        body.discard()
         val reply = activeReply ?: return
         activeReply = null
         reply.isEnded = true
@@ -273,5 +308,14 @@
 
         /** Number of queued messages of pipelined requests at which reading pauses. */
         const val MAXIMUM_POSTPONED_MESSAGES = 32
+
+        /** Size of queued messages of pipelined requests at which reading pauses. */
+        const val MAXIMUM_POSTPONED_BYTES = 65_536L
+
+        /** Time for which the rest of a refused request is read; large bodies are sent within a few seconds. */
+        const val LINGER_MILLISECONDS = 5_000L
+
+        /** The same while the process stops. */
+        const val STOP_LINGER_MILLISECONDS = 500L
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerRequest.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpRequest
 import org.guavahatch.model.forwarding.CallerLimits
 
 /**
@@ -33,6 +34,13 @@
     /** Accepts or refuses [request]; the returned listener, if any, receives the events of its connection. */
     fun accept(request: CallerRequest, responder: CallerResponder): CallerRequestListener?
 
-    /** Whether [bytes] more of request bodies can be buffered. */
-    fun canBuffer(bytes: Int): Boolean
+    /** Budget for the bytes of request bodies, complete or not. */
+    val bodies: BodyBudget
+
+    /**
+     * Notes that [request] is refused because its body finds no room.
+     *
+     * @return milliseconds after which the caller may try again
+     */
+    fun onBodyRefused(request: HttpRequest): Long
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -8,9 +8,10 @@
 import arrow.core.right
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
-import org.guavahatch.gateway.ByteBudget
 import org.guavahatch.gateway.GatewayHeaders
+import org.guavahatch.gateway.caller.BodyBudget
 import org.guavahatch.gateway.caller.CallerRequest
 import org.guavahatch.gateway.caller.CallerRequestListener
 import org.guavahatch.gateway.caller.CallerResponder
@@ -41,14 +42,26 @@
 ) : RequestAcceptor {
     private val headers: GatewayHeaders get() = context.headers
     private var sequence = 0L
-    private val bufferedBodies = ByteBudget(settings.maximumBodyBytes)
     private val repeated = RepeatedRequests()
 
     override val isStopping: Boolean get() = state.stop.isStopping
 
     override val limits: CallerLimits get() = state.configuration?.limits ?: INITIAL_LIMITS
 
-    override fun canBuffer(bytes: Int): Boolean = bufferedBodies.hasCapacityFor(bytes.toLong())
+    override val bodies: BodyBudget = BodyBudget.forHeap(settings.maximumBodyBytes, Runtime.getRuntime().maxMemory())
+
+    override fun onBodyRefused(request: HttpRequest): Long {
+        context.metrics.countEnded(NO_ROOM_FOR_BODY)
+        context.log.write("request.refused") {
+            put("request", request.headers().get(headers.requestId).orEmpty())
+            put("status", HttpResponseStatus.SERVICE_UNAVAILABLE.code())
+            put("reason", NO_ROOM_FOR_BODY)
+            put("announced-bytes", request.headers().get(HttpHeaderNames.CONTENT_LENGTH).orEmpty())
+            put("buffered-bytes", bodies.used)
+            put("retry-after", BODY_RETRY_AFTER_MILLISECONDS)
+        }
+        return BODY_RETRY_AFTER_MILLISECONDS
+    }
 
     override fun accept(request: CallerRequest, responder: CallerResponder): CallerRequestListener? =
         if (isConfigurationUsable() || isStopOver()) {
@@ -103,10 +116,8 @@
     }
 
     private fun start(plan: RequestPlan, responder: CallerResponder): CallerRequestListener {
-        val size = plan.request.body.readableBytes().toLong()
-        bufferedBodies.add(size)
         val pool = state.pool(plan.pool)
-        val activeRequest = ActiveRequest(plan, responder, pool, context) { bufferedBodies.add(-size) }
+        val activeRequest = ActiveRequest(plan, responder, pool, context)
         pool.submit(activeRequest)
         return activeRequest
     }
@@ -284,6 +295,11 @@
         /** Usual time until a gateway that lost the store reconnects to it, or the caller reaches another gateway. */
         const val RETRY_AFTER_MILLISECONDS = 300L
 
+        const val NO_ROOM_FOR_BODY = "no-room-for-body"
+
+        /** Large bodies take about a second to arrive, and leave with the end of their request. */
+        const val BODY_RETRY_AFTER_MILLISECONDS = 1_000L
+
         const val CONFIGURATION_WAIT_MILLISECONDS = 400L
         const val CONFIGURATION_CHECK_MILLISECONDS = 10L
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -22,7 +22,6 @@
     private val responder: CallerResponder,
     private val dispatcher: PoolDispatcher,
     private val context: RequestContext,
-    private val onEnd: () -> Unit,
 ) : CallerRequestListener {
     private val history = SendHistory(plan.route.dispatchRule, plan.route.maximumAttempts)
     private val completion = RequestCompletion(plan, responder, context, history, ::onCompleted)
@@ -274,7 +273,6 @@
     private fun onCompleted() {
         deadlineTimer.cancel(false)
         patienceTimer.cancel(false)
-        onEnd()
         dispatcher.onEnded(this)
     }
 
