--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import org.guavahatch.gateway.caller.CallerServer
+import org.guavahatch.gateway.caller.UnreadMonitor
 import org.guavahatch.gateway.control.Admission
 import org.guavahatch.gateway.control.ConfiguredPermissions
 import org.guavahatch.gateway.control.ControlResponse
@@ -19,6 +20,7 @@
 import org.guavahatch.gateway.request.RequestContext
 import org.guavahatch.gateway.settings.GatewaySettings
 import org.guavahatch.model.time.Clock
+import java.util.concurrent.Callable
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -66,7 +68,8 @@
             metrics,
         )
     private val admission = Admission(state, context, settings.requests, random)
-    private val callers = CallerServer(group, admission, clock, headers.requestId)
+    private val unread = UnreadMonitor(loop, clock, settings.callerConnections.maximumUnreadBytes, log, metrics)
+    private val callers = CallerServer(group, admission, clock, headers.requestId, unread)
     private var stopSignal = CountDownLatch(1)
 
     private fun noteUnexpectedBytes(address: String, bytes: UnexpectedBytes) {
@@ -77,6 +80,11 @@
     /** Event loop on which adapters must call [state]. */
     val eventLoop: EventLoop get() = loop
 
+    private val loopThread: Thread = loop.submit(Callable { Thread.currentThread() }).get()
+
+    /** Whether the event loop's thread still runs. Without it, nothing is answered. */
+    val isEventLoopRunning: Boolean get() = loopThread.isAlive
+
     /** Starts serving. [fetchConfiguration] fetches the configuration from a peer's control address. */
     fun start(fetchConfiguration: (peerAddress: String) -> Unit) {
         log.start()
@@ -89,6 +97,7 @@
         val handlers = mapOf("/metrics" to ::metricsResponse, "/configuration" to ::configurationResponse)
         ControlServer(group, handlers).start(settings.control)
         PeerExchange(state, loop, clock, log, fetchConfiguration).start(settings.control)
+        unread.start()
         callers.start(settings.callers)
         registerGauges()
     }
@@ -152,6 +161,8 @@
         metrics.gauge("requests.waiting") { state.pools().sumOf { it.waitingRequests }.toDouble() }
         metrics.gauge("peers.heard") { state.peers.freshReports().size.toDouble() }
         metrics.gauge("quarantines") { state.quarantine.active.size.toDouble() }
+        metrics.gauge("callers.unread.bytes") { unread.unreadBytes.toDouble() }
+        metrics.gauge("bodies.bytes") { admission.bodies.used.toDouble() }
         metrics.gauge("log.dropped") { log.droppedLines.toDouble() }
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
@@ -23,6 +22,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.util.ReferenceCountUtil
+import org.guavahatch.gateway.endOnLackOfMemory
 import org.guavahatch.gateway.http.RequestHeadSyntax
 import org.guavahatch.gateway.request.GatewayResponses
 import org.guavahatch.model.time.Clock
@@ -36,8 +36,10 @@
     private val acceptor: RequestAcceptor,
     private val clock: Clock,
     private val requestIdHeader: String,
+    private val monitor: UnreadMonitor,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var output: UnreadOutput
     private val postponed = ArrayDeque<HttpObject>()
     private var head: HttpRequest? = null
     private var headReceivedAt = 0L
@@ -54,6 +56,7 @@
 
     override fun handlerAdded(handlerContext: ChannelHandlerContext) {
         context = handlerContext
+        output = UnreadOutput(handlerContext, monitor) { activeReply?.listener?.onWritable() }
     }
 
     /**
@@ -65,7 +68,8 @@
         if (activeReply != null || (isStopping && isWriting)) return
         val limits = acceptor.limits
         val limit = if (head != null) limits.headerTimeoutMilliseconds else limits.idleTimeoutMilliseconds
-        val idle = clock.monotonicMilliseconds() - idleSince
+        val sinceRead = if (head == null) output.millisecondsWithoutRead() else null
+        val idle = sinceRead ?: (clock.monotonicMilliseconds() - idleSince)
         val isExpired = idle > limit
         if (head != null && isExpired) return refuse(HttpResponseStatus.REQUEST_TIMEOUT)
         val isUnused = head == null && (hasReadRequest || idle > FIRST_REQUEST_MILLISECONDS)
@@ -159,6 +163,7 @@
         val request = head ?: return
         val reply = Reply(HttpUtil.isKeepAlive(request), request.method() == HttpMethod.HEAD)
         activeReply = reply
+        output.requestId = request.headers().get(requestIdHeader).orEmpty()
         head = null
         val callerRequest = CallerRequest(request.method(), request.uri(), request.headers(), body.take(), headReceivedAt)
         val listener = acceptor.accept(callerRequest, reply)
@@ -217,11 +222,12 @@
     }
 
     override fun channelWritabilityChanged(handlerContext: ChannelHandlerContext) {
-        if (handlerContext.channel().isWritable) activeReply?.listener?.onWritable()
+        output.refresh()
     }
 
     override fun channelInactive(handlerContext: ChannelHandlerContext) {
         isClosing = true
+        output.close()
         while (postponed.isNotEmpty()) ReferenceCountUtil.release(takePostponed())
         body.discard()
         val reply = activeReply ?: return
@@ -231,6 +237,7 @@
     }
 
     override fun exceptionCaught(handlerContext: ChannelHandlerContext, exception: Throwable) {
+        handlerContext.channel().eventLoop().endOnLackOfMemory(exception)
         // Resets by callers are usual; channelInactive follows and notifies the request.
         handlerContext.close()
     }
@@ -240,7 +247,7 @@
         var isEnded = false
         private var isChunked = false
 
-        override val isWritable: Boolean get() = context.channel().isWritable
+        override val mayReadOn: Boolean get() = output.mayReadOn()
 
         override fun respond(status: Int, headers: HttpHeaders, body: ByteBuf) {
             if (isEnded) {
@@ -269,7 +276,7 @@
         }
 
         override fun write(data: ByteBuf) {
-            if (isEnded) data.release() else context.writeAndFlush(DefaultHttpContent(data))
+            if (isEnded) data.release() else output.write(data)
         }
 
         override fun end() {
@@ -294,7 +301,7 @@
 
         private fun send(message: Any, isKeptOpen: Boolean) {
             isWriting = true
-            val future = context.writeAndFlush(message).addListener { isWriting = false }
+            val future = output.complete(message).addListener { isWriting = false }
             if (!isKeptOpen) future.addListener(ChannelFutureListener.CLOSE)
             if (activeReply === this) finish(this, isKeptOpen)
         }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerResponder.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerResponder.kt
@@ -5,8 +5,8 @@
 
 /** Writes the response to one request of a caller. */
 interface CallerResponder {
-    /** Whether the connection accepts more data; false while the caller reads too slowly. */
-    val isWritable: Boolean
+    /** Whether more of the answer may be read from its endpoint; false while the caller reads too slowly. */
+    val mayReadOn: Boolean
 
     /** Sends a complete response. Takes ownership of [body]. */
     fun respond(status: Int, headers: HttpHeaders, body: ByteBuf)
@@ -29,6 +29,6 @@
     /** The caller has closed the connection. */
     fun onCallerGone()
 
-    /** More data can be written to the connection. */
+    /** More of the answer may be read from its endpoint. */
     fun onWritable()
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerServer.kt
@@ -23,6 +23,7 @@
     private val acceptor: RequestAcceptor,
     private val clock: Clock,
     private val requestIdHeader: String,
+    private val monitor: UnreadMonitor,
 ) {
     private val connections = HashSet<CallerConnection>()
     private var listener: Channel? = null
@@ -60,7 +61,7 @@
     }
 
     private fun initialize(channel: SocketChannel) {
-        val connection = CallerConnection(acceptor, clock, requestIdHeader)
+        val connection = CallerConnection(acceptor, clock, requestIdHeader, monitor)
         connections.add(connection)
         channel.closeFuture().addListener { connections.remove(connection) }
         val headerBytes = acceptor.limits.maximumHeaderBytes
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.guavahatch.gateway.endOnLackOfMemory
 import org.guavahatch.gateway.http.ArrivedInput
 import org.guavahatch.gateway.http.EmbeddedResponse
 import org.guavahatch.gateway.http.InspectableSocketChannel
@@ -236,6 +237,7 @@
     }
 
     override fun exceptionCaught(context: ChannelHandlerContext, exception: Throwable) {
+        context.channel().eventLoop().endOnLackOfMemory(exception)
         if (exception is MalformedHeadException) reportMalformed(exception)
         abort(exception.message ?: exception.javaClass.simpleName)
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/endpoint/EndpointConnector.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -35,6 +36,10 @@
         .channelFactory { InspectableSocketChannel() }
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .option(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES),
+        )
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
         .handler(object : ChannelInitializer<SocketChannel>() {
             override fun initChannel(channel: SocketChannel) {
@@ -81,6 +86,12 @@
     }
 
     private companion object {
+        const val MINIMUM_READ_BYTES = 64
+        const val INITIAL_READ_BYTES = 2_048
+
+        /** What is under way when reading pauses for a slow caller is at most one read. */
+        const val MAXIMUM_READ_BYTES = 16_384
+
         /**
          * Links within a region take about a millisecond. The limit lies below the second after which a lost first
          * packet is sent again.
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -16,6 +16,7 @@
     private val lost = HashMap<String, Counter>()
     private val skipped = HashMap<String, Counter>()
     private val unexpectedBytes = HashMap<UnexpectedBytes.Place, Counter>()
+    private val slowCallers = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
 
     /** Returns the current values in the Prometheus text format. */
@@ -46,6 +47,11 @@
         Counter.builder("guavahatch.gateway.unexpected.bytes").tag("found", place.text).register(registry)
     }.increment()
 
+    /** Counts a caller that reads too slowly for the room that is left; [outcome] is held-back or disconnected. */
+    fun countSlowCaller(outcome: String) = slowCallers.getOrPut(outcome) {
+        Counter.builder("guavahatch.gateway.callers.slow").tag("outcome", outcome).register(registry)
+    }.increment()
+
     /** Records the duration of [step] (queue, first-event, total) of a request of [rank]. */
     fun recordDuration(step: String, rank: Int, milliseconds: Long) = timers.getOrPut("$step $rank") {
         Timer.builder("guavahatch.gateway.duration")
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -175,7 +175,7 @@
         completion.beginResponse(response)
         completion.noteEvent()
         responder.write(event.bytes)
-        if (!responder.isWritable) attempt?.pauseReading()
+        if (!responder.mayReadOn) attempt?.pauseReading()
         return true
     }
 
