--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -22,7 +22,6 @@
     private val responder: CallerResponder,
     private val dispatcher: PoolDispatcher,
     private val context: RequestContext,
-    private val onEnd: () -> Unit,
 ) : CallerRequestListener {
     private val history = SendHistory(plan.route.dispatchRule, plan.route.maximumAttempts)
     private val completion = RequestCompletion(plan, responder, context, history, ::onCompleted)
@@ -176,7 +175,7 @@
         completion.beginResponse(response)
         completion.noteEvent()
         responder.write(event.bytes)
-        if (!responder.isWritable) attempt?.pauseReading()
+        if (!responder.mayReadOn) attempt?.pauseReading()
         return true
     }
 
@@ -276,7 +275,6 @@
     private fun onCompleted() {
         deadlineTimer.cancel(false)
         patienceTimer.cancel(false)
-        onEnd()
         dispatcher.onEnded(this)
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/CallerConnectionSettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/CallerConnectionSettings.kt
@@ -3,9 +3,9 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Limits of the connections of callers.
+ * Limits of what one gateway buffers for its callers.
  *
- * @property maximumUnreadBytes bytes that all callers of the gateway together have not read yet
+ * @property maximumUnreadBytes bytes of answers that all callers of the gateway together have not read yet
  */
 @Serializable
 data class CallerConnectionSettings(val maximumUnreadBytes: Long = 8L * 1024 * 1024)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -104,7 +104,7 @@
  * Limits of the requests that one gateway holds.
  *
  * @property maximumWaiting requests of one pool that may wait
- * @property maximumBodyBytes bytes of request bodies that may be buffered
+ * @property maximumBodyBytes bytes of request bodies that may be buffered, complete or not; at most a third of the heap
  */
 @Serializable
 data class RequestSettings(val maximumWaiting: Int = 2_000, val maximumBodyBytes: Long = 48L * 1024 * 1024)
