--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -17,6 +17,7 @@
  * @property stop time limit of a planned stop
  * @property endpoints limits for endpoints and their responses
  * @property requests limits of the requests that one gateway holds
+ * @property zones whether requests prefer the gateway's own zone
  */
 @Serializable
 data class GatewaySettings(
@@ -32,6 +33,7 @@
     val stop: StopSettings,
     val endpoints: EndpointSettings,
     val requests: RequestSettings = RequestSettings(),
+    val zones: ZoneSettings = ZoneSettings(),
 )
 
 /**
@@ -100,3 +102,11 @@
  */
 @Serializable
 data class RequestSettings(val maximumWaiting: Int = 2_000, val maximumBodyBytes: Long = 48L * 1024 * 1024)
+
+/**
+ * Routing between availability zones.
+ *
+ * @property preferOwn whether requests stay in the zone of their gateway unless leaving it pays off, default false
+ */
+@Serializable
+data class ZoneSettings(val preferOwn: Boolean = false)
