--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -64,6 +64,7 @@
             bufferedResponses,
             log,
             metrics,
+            settings.zone,
         )
     private val admission = Admission(state, context, settings.requests, random)
     private val callers = CallerServer(group, admission, clock, headers.requestId)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -45,6 +45,8 @@
     private var listeners = emptyList<() -> Unit>()
     private var completelyReportedUse = emptyMap<String, Long>()
 
+    private val preferredZone: String? get() = settings.zone.takeIf { settings.zones.preferOwn }
+
     /** Name of this gateway. */
     val name: String get() = settings.name
 
@@ -207,6 +209,7 @@
             waiting = pools.values.mapNotNull { pool -> pool.highestRankWaiting?.let { pool.name to it } }.toMap(),
             changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
+            zone = preferredZone.orEmpty(),
         )
     }
 
@@ -218,7 +221,9 @@
         )
         val chooser = EarliestFirstTokenChooser(random, settings.zone)
         val allowance = RetryAllowance(clock, limit)
-        val pool = PoolDispatcher(name, loop, clock, chooser, SlotShares(random), allowance, peers, connector, stop)
+        val shares = SlotShares(random)
+        val pool =
+            PoolDispatcher(name, loop, clock, chooser, shares, allowance, peers, connector, stop, preferredZone)
         pool.onChange = { listeners.forEach { it() } }
         return pool
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -13,6 +13,7 @@
     private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val ended = HashMap<String, Counter>()
     private val sends = HashMap<String, Counter>()
+    private val sendsByZone = HashMap<String, Counter>()
     private val lost = HashMap<String, Counter>()
     private val skipped = HashMap<String, Counter>()
     private val unexpectedBytes = HashMap<UnexpectedBytes.Place, Counter>()
@@ -31,6 +32,14 @@
         Counter.builder("guavahatch.gateway.sends").tag("pool", pool).tag("kind", kind).register(registry)
     }.increment()
 
+    /** Counts a send to an endpoint of [pool], in the zone of the gateway or in another one. */
+    fun countZone(pool: String, hasLeftZone: Boolean) = sendsByZone.getOrPut("$pool $hasLeftZone") {
+        Counter.builder("guavahatch.gateway.sends.zone")
+            .tag("pool", pool)
+            .tag("left", hasLeftZone.toString())
+            .register(registry)
+    }.increment()
+
     /** Counts a request that was lost because the process of its endpoint in [pool] has ended. */
     fun countLost(pool: String) = lost.getOrPut(pool) {
         Counter.builder("guavahatch.gateway.requests.lost").tag("pool", pool).register(registry)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -18,13 +18,15 @@
  * @property load the sender's requests and their prompt tokens that are not prefilled yet, by endpoint
  * @property accountUse units admitted since the sender's start, by account, or null if left out
  * @property accountLevels units left, by account, or null if left out
- * @property waiting order of the highest rank that waits, and the number of its requests, by pool
+ * @property waiting order of the highest rank that waits, the number of its requests, and, if the sender prefers its
+ * zone, the number of those that may leave it, by pool
  * @property wantsEcho whether the sender needs echoes to confirm its configuration; senders of earlier versions, which
  * leave it out, always do
  * @property changedUse [accountUse] of the accounts that have changed since the last datagram with [accountUse]
  * @property crashes ends of endpoints that the sender has observed
  * @property answeredParts milliseconds since the latest answer to a request with a suspected prompt part, by part
  * @property quarantines milliseconds for which requests are still held back, by their prompt parts
+ * @property zone zone that the sender prefers; empty if it prefers none
  */
 @Serializable
 internal class PeerDatagram(
@@ -43,6 +45,7 @@
     @CborLabel(13) val crashes: List<ObservedCrash> = emptyList(),
     @CborLabel(14) val answeredParts: Map<String, Long> = emptyMap(),
     @CborLabel(15) val quarantines: Map<String, Long> = emptyMap(),
+    @CborLabel(18) val zone: String = "",
 )
 
 /**
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -121,7 +121,7 @@
         report.load.mapValues { (_, load) -> listOf(load.requests.toLong(), load.prefillTokens) },
         report.accounts?.use,
         report.accounts?.levels,
-        report.waiting.mapValues { (_, waiting) -> listOf(waiting.order, waiting.requests) },
+        report.waiting.mapValues { (_, waiting) -> listOfNotNull(waiting.order, waiting.requests, waiting.leaving) },
         state.freshness.needsConfirmation(),
         report.changedUse,
         report.quarantine.crashes.map { crash ->
@@ -129,6 +129,7 @@
         },
         report.quarantine.answerAges,
         report.quarantine.remaining.mapKeys { (quarantine, _) -> quarantine.toString() },
+        zone = report.zone,
     )
 
     private fun read(packet: DatagramPacket) {
@@ -175,9 +176,12 @@
         load = datagram.load.mapValues { (_, load) -> EndpointLoad(load[0].toInt(), load[1]) },
         configurationVersion = datagram.configurationVersion,
         accounts = accountsOf(datagram),
-        waiting = datagram.waiting.mapValues { (_, waiting) -> WaitingReport(waiting[0], waiting[1]) },
+        waiting = datagram.waiting.mapValues { (_, waiting) ->
+            WaitingReport(waiting[0], waiting[1], waiting.getOrNull(2))
+        },
         changedUse = datagram.changedUse,
         quarantine = quarantineOf(datagram),
+        zone = datagram.zone,
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -9,6 +9,7 @@
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.SendHistory
 import org.guavahatch.scheduling.quarantine.EndpointProcess
+import org.guavahatch.scheduling.zone.OtherZoneReason
 import java.util.concurrent.TimeUnit
 
 /**
@@ -44,9 +45,9 @@
     fun maySendAt(now: Long): Boolean =
         now < plan.waiting.deadline && (isContinuation || context.permissions.isKeyAccepted(plan))
 
-    /** Sends the request to [endpoint]. */
-    fun dispatch(endpoint: EndpointState) {
-        val newAttempt = Attempt(this, endpoint, plan, context)
+    /** Sends the request to [endpoint]; [otherZoneReason] says why it leaves the zone of the gateway, if it does. */
+    fun dispatch(endpoint: EndpointState, otherZoneReason: OtherZoneReason? = null) {
+        val newAttempt = Attempt(this, endpoint, plan, context, otherZoneReason)
         attempt = newAttempt
         newAttempt.start(history.lastEventId, isRetry = history.hasBeenSent)
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -12,6 +12,7 @@
 import org.guavahatch.gateway.endpoint.EndpointUnreachable
 import org.guavahatch.gateway.endpoint.RetryAfterHeader
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.zone.OtherZoneReason
 import java.util.concurrent.TimeUnit
 
 /** One attempt to run a request on one endpoint, until its response ends. */
@@ -20,6 +21,7 @@
     private val endpoint: EndpointState,
     private val plan: RequestPlan,
     private val context: RequestContext,
+    private val otherZoneReason: OtherZoneReason?,
 ) : EndpointResponseListener {
     private val splitter = EventSplitter()
     private val startedAt = context.clock.monotonicMilliseconds()
@@ -87,10 +89,13 @@
             "first"
         }
         context.metrics.countSend(plan.pool, kind)
+        context.metrics.countZone(plan.pool, hasLeftZone = endpoint.listed.zone != context.zone)
         context.metrics.recordDuration("queue", plan.waiting.rank, now - plan.waiting.arrivedAt)
         context.log.write("request.sent", plan) {
             put("endpoint", endpoint.listed.id)
             put("address", endpoint.listed.address)
+            put("zone", endpoint.listed.zone)
+            otherZoneReason?.let { put("other-zone-reason", it.text) }
             put("kind", kind)
             put("send", sent.send)
             put("connection", sent.connection)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -19,9 +19,15 @@
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.zone.ZoneChoice
+import org.guavahatch.scheduling.zone.ZoneRouting
 import java.util.concurrent.TimeUnit
 
-/** Queues the requests of one endpoint pool and dispatches them to its endpoints. */
+/**
+ * Queues the requests of one endpoint pool and dispatches them to its endpoints.
+ *
+ * @param preferredZone zone whose endpoints are preferred, or null if requests go to any zone
+ */
 class PoolDispatcher(
     val name: String,
     private val loop: EventLoop,
@@ -32,11 +38,13 @@
     private val peers: PeerTable,
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
+    preferredZone: String? = null,
 ) {
     private val queue = WaitingQueue()
     private val forecast = QueueForecast()
     private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
+    private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve) }
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
@@ -60,7 +68,11 @@
      * is 0 while slots are free, as the requests then wait for an engine that can prefill them.
      */
     val highestRankWaiting: WaitingReport?
-        get() = queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
+        get() = if (zones != null) {
+            zones.report(queue, endpoints.values, clock.monotonicMilliseconds())
+        } else {
+            queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
+        }
 
     /** Number of submitted requests that have not ended. */
     val openRequests: Int get() = open.size
@@ -135,19 +147,25 @@
     }
 
     private fun newState(listed: ListedEndpoint) = EndpointState(listed).also {
-        divideSlots(listOf(it), clock.monotonicMilliseconds())
+        val now = clock.monotonicMilliseconds()
+        // The division between zones depends on the other endpoints.
+        if (zones != null) zones.divide(endpoints.values + it, highestWaitingOrder, now) else divideSlots(listOf(it), now)
     }
 
-    private fun divideSlots(states: Collection<EndpointState>, now: Long) =
+    private fun divideSlots(states: Collection<EndpointState>, now: Long) {
+        if (zones != null) return zones.divide(states, highestWaitingOrder, now)
         shares.divide(states, competingGateways(), peers.silentCount.toDouble() / peers.gatewayCount, now)
+    }
 
     private fun divideAllSlots(now: Long) {
         divideSlots(endpoints.values, now)
         slotsDividedAt = now
-        slotsDividedFor = queue.highestPriority?.order ?: Int.MAX_VALUE
+        slotsDividedFor = highestWaitingOrder
     }
 
-    private fun competingGateways() = peers.gatewaysWithWaiting(name, queue.highestPriority?.order ?: Int.MAX_VALUE)
+    private val highestWaitingOrder: Int get() = queue.highestPriority?.order ?: Int.MAX_VALUE
+
+    private fun competingGateways() = peers.gatewaysWithWaiting(name, highestWaitingOrder)
 
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
@@ -201,15 +219,27 @@
         val now = clock.monotonicMilliseconds()
         val free = endpoints.values.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
-        val (request, endpoint) = queue.candidates(now)
-            .filter { activeRequests[it.sequence]?.let { active -> maySend(active, now) } == true }
-            .takeWhile { reserve.mayUse(free, slots, it.order) }
-            .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
-            ?: return false
-        send(request, endpoint, now)
+        val sendable = queue.candidates(now).filter { isSendable(it, now) }
+        val choice = if (zones != null) chooseByZone(zones, sendable, now) else choose(sendable, free, now)
+        send(choice ?: return false, now)
         return true
     }
 
+    private fun choose(requests: List<WaitingRequest>, free: Int, now: Long) = requests
+        .takeWhile { reserve.mayUse(free, slots, it.order) }
+        .firstNotNullOfOrNull { request ->
+            chooser.choose(request, endpoints.values, now)?.let { ZoneChoice(request, it, reason = null) }
+        }
+
+    /** A late request may leave its zone at once, so it is tried even behind the first few that are on time. */
+    private fun chooseByZone(zones: ZoneRouting, requests: List<WaitingRequest>, now: Long): ZoneChoice? {
+        val late = queue.firstLate(now)?.takeIf { it !in requests && isSendable(it, now) }
+        return zones.choose(requests + listOfNotNull(late), endpoints.values, now)
+    }
+
+    private fun isSendable(request: WaitingRequest, now: Long) =
+        activeRequests[request.sequence]?.let { maySend(it, now) } == true
+
     private fun maySend(active: ActiveRequest, now: Long) = active.maySendAt(now) && !isTooLateForStop(active, now)
 
     /** Whether [active] is not expected to end before a planned stop does. A response that has begun goes on. */
@@ -220,10 +250,10 @@
         return !stop.allowsSendAt(now, expected ?: (route.timeoutMilliseconds / UNKNOWN_TIMEOUT_DIVISOR))
     }
 
-    private fun send(request: WaitingRequest, endpoint: EndpointState, now: Long) {
-        queue.remove(request)
+    private fun send(choice: ZoneChoice, now: Long) {
+        queue.remove(choice.request)
         forecast.recordDispatch(now, hasMoreWaiting = queue.size > 0)
-        activeRequests.remove(request.sequence)?.dispatch(endpoint)
+        activeRequests.remove(choice.request.sequence)?.dispatch(choice.endpoint, choice.reason)
     }
 
     private fun refuseWithdrawnKeys() = activeRequests.values.filter { it.isKeyWithdrawn }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -25,6 +25,7 @@
  * @property bufferedResponses budget for the bytes of incomplete responses
  * @property log decision log
  * @property metrics counters and histograms
+ * @property zone availability zone of the gateway
  */
 class RequestContext(
     val loop: EventLoop,
@@ -38,6 +39,7 @@
     val bufferedResponses: ByteBudget,
     val log: DecisionLog,
     val metrics: GatewayMetrics,
+    val zone: String = "",
 ) {
     /** Builds the messages that are forwarded between callers and endpoints. */
     val messages: ForwardedMessages = ForwardedMessages(headers)
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointChooser.kt
@@ -5,7 +5,19 @@
 /** Chooses the endpoint for a request. */
 public interface EndpointChooser {
     /** Returns the endpoint among [candidates] to send [request] to at [now], or null if the request should wait. */
-    public fun choose(request: WaitingRequest, candidates: Collection<EndpointState>, now: Long): EndpointState?
+    public fun choose(request: WaitingRequest, candidates: Collection<EndpointState>, now: Long): EndpointState? =
+        choose(request, candidates, now) { true }
+
+    /**
+     * Returns the endpoint among [candidates] for which [isAllowed] holds to send [request] to at [now], or null if the
+     * request should wait. The other candidates only serve to compare speeds.
+     */
+    public fun choose(
+        request: WaitingRequest,
+        candidates: Collection<EndpointState>,
+        now: Long,
+        isAllowed: (EndpointState) -> Boolean,
+    ): EndpointState?
 }
 
 /**
@@ -28,11 +40,16 @@
  * @property zone availability zone of this gateway
  */
 public class EarliestFirstTokenChooser(private val random: Random, private val zone: String) : EndpointChooser {
-    override fun choose(request: WaitingRequest, candidates: Collection<EndpointState>, now: Long): EndpointState? {
+    override fun choose(
+        request: WaitingRequest,
+        candidates: Collection<EndpointState>,
+        now: Long,
+        isAllowed: (EndpointState) -> Boolean,
+    ): EndpointState? {
         val usable = candidates.filter { it.isUsableAt(now) }
         val speeds = RelativeSpeeds(usable)
         val longest = longestGenerationMilliseconds(request, usable, speeds, now)
-        val eligible = usable.filter { hasFreeSlot(it, now) }
+        val eligible = usable.filter { hasFreeSlot(it, now) && isAllowed(it) }
             .filter { speeds.generationMilliseconds(request, it) <= longest }
             .filter { keepsPausesWithinObjective(request, it, speeds, now) }
         return eligible.filter { it.listed.id !in request.avoidedEndpoints }.ifEmpty { eligible }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -19,10 +19,19 @@
     /** Number of registered gateways without a recent report that may still be running and serving callers. */
     public val silentCount: Int get() {
         val now = clock.monotonicMilliseconds()
-        return registeredSince.count { (name, since) ->
-            val last = maxOf(since, received[name]?.receivedAt ?: since)
-            now - last in silenceMilliseconds + 1..MAXIMUM_SILENCE_MILLISECONDS
-        }
+        return registeredSince.count { (name, since) -> isSilent(name, since, now) }
+    }
+
+    /** Zone of each gateway that counts in [silentCount], as last reported; empty if unknown. */
+    public val silentZones: List<String> get() {
+        val now = clock.monotonicMilliseconds()
+        return registeredSince.filter { (name, since) -> isSilent(name, since, now) }
+            .map { (name, _) -> received[name]?.report?.zone.orEmpty() }
+    }
+
+    private fun isSilent(name: String, since: Long, now: Long): Boolean {
+        val last = maxOf(since, received[name]?.receivedAt ?: since)
+        return now - last in silenceMilliseconds + 1..MAXIMUM_SILENCE_MILLISECONDS
     }
 
     /** Sets the [names] of all other registered gateways. */
@@ -101,6 +110,7 @@
  * @property waiting waiting requests of the highest priority, by pool
  * @property changedUse [AccountReport.use] of the accounts whose use has changed since the last message with [accounts]
  * @property quarantine what the gateway tells of prompt parts that end endpoints
+ * @property zone zone that the gateway prefers; empty if it prefers none or is of an older release
  */
 public data class PeerReport(
     public val name: String,
@@ -112,6 +122,7 @@
     public val waiting: Map<String, WaitingReport>,
     public val changedUse: Map<String, Long> = emptyMap(),
     public val quarantine: QuarantineReport = QuarantineReport(),
+    public val zone: String = "",
 )
 
 /**
@@ -131,8 +142,9 @@
  *
  * @property order [WaitingRequest.order] of the requests; lower values have priority
  * @property requests number of requests that wait for a free slot
+ * @property leaving number of requests that may leave their zone now, or null if the gateway prefers no zone
  */
-public data class WaitingReport(public val order: Int, public val requests: Int)
+public data class WaitingReport(public val order: Int, public val requests: Int, public val leaving: Int? = null)
 
 /**
  * Requests of one gateway at one endpoint.
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PriorityReserve.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PriorityReserve.kt
@@ -22,8 +22,12 @@
     public fun mayUse(freeSlots: Int, slots: Int, order: Int): Boolean =
         peers.waitingWithHigherPriority(pool, order) + reservedSlots(slots, order) < freeSlots
 
-    private fun reservedSlots(slots: Int, order: Int): Int {
-        val expected = arrivals.expectedBefore(order, peers.reportIntervalMilliseconds) * peers.gatewayCount
+    /**
+     * Slots of [slots] to keep free for the requests with a higher priority than [order] that probably arrive at
+     * [gateways] gateways before their next reports.
+     */
+    public fun reservedSlots(slots: Int, order: Int, gateways: Int = peers.gatewayCount): Int {
+        val expected = arrivals.expectedBefore(order, peers.reportIntervalMilliseconds) * gateways
         return minOf(expected.toInt(), slots / MAXIMUM_RESERVED_DIVISOR)
     }
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SlotShares.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SlotShares.kt
@@ -21,11 +21,13 @@
      * by them, unless the endpoint has recently reported its number of requests
      */
     public fun divide(endpoints: Collection<EndpointState>, gatewaysWithWaiting: Int, silentShare: Double, now: Long) {
-        endpoints.forEach { endpoint ->
-            endpoint.assumedRequests = round(endpoint.listed.slots * silentShare)
-            val ownShare = endpoint.freeSlotsAt(now).toDouble() / gatewaysWithWaiting
-            endpoint.ownRequestLimit = endpoint.ownRequests + round(ownShare)
-        }
+        endpoints.forEach { assign(it, gatewaysWithWaiting.toDouble(), silentShare, now) }
+    }
+
+    /** Limits the requests of this gateway at [endpoint] to one of [shares] equal shares of its free slots at [now]. */
+    public fun assign(endpoint: EndpointState, shares: Double, silentShare: Double, now: Long) {
+        endpoint.assumedRequests = round(endpoint.listed.slots * silentShare)
+        endpoint.ownRequestLimit = endpoint.ownRequests + round(endpoint.freeSlotsAt(now) / shares)
     }
 
     /** Rounds up or down at random, so that the mean of many results equals [value]. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
@@ -28,6 +28,16 @@
     public val highestPriority: WaitingReport?
         get() = sizesByOrder.firstEntry()?.let { WaitingReport(it.key, it.value) }
 
+    /** Number of the first [limit] requests of the highest priority for which [predicate] holds. */
+    public fun countOfHighestPriority(limit: Int, predicate: (WaitingRequest) -> Boolean): Int {
+        val order = requests.firstOrNull()?.order ?: return 0
+        return requests.asSequence().take(limit).takeWhile { it.order == order }.count(predicate)
+    }
+
+    /** The first request of the highest priority if it cannot meet its objective any more at [now], or null. */
+    public fun firstLate(now: Long): WaitingRequest? =
+        requests.firstOrNull()?.takeIf { !it.hasAnswerBegun && it.latestSendAt < now }
+
     /** Number of waiting requests. */
     public val size: Int get() = requests.size
 
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -0,0 +1,212 @@
+package org.guavahatch.scheduling.zone
+
+import org.guavahatch.scheduling.direct.EndpointChooser
+import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.PeerTable
+import org.guavahatch.scheduling.direct.PriorityReserve
+import org.guavahatch.scheduling.direct.SlotShares
+import org.guavahatch.scheduling.direct.WaitingQueue
+import org.guavahatch.scheduling.direct.WaitingReport
+import org.guavahatch.scheduling.direct.WaitingRequest
+
+/**
+ * Keeps requests in the zone of their gateway as long as its endpoints serve them within their objective.
+ *
+ * Traffic between zones is slower and is charged, yet the endpoints of a zone are sometimes too few. A request leaves
+ * its zone if that has no usable endpoint, if it is full and the request has waited for half of its time, or if all its
+ * free endpoints are too slow for the objective. It then uses only slots that the callers of the other zone do not need.
+ *
+ * @property pool name of the endpoint pool
+ * @property zone zone of this gateway
+ * @property peers reports of the other gateways
+ * @property chooser chooses among the endpoints that a request may use
+ * @property shares divides the free slots
+ * @property reserve keeps slots for requests of higher priority
+ */
+public class ZoneRouting(
+    private val pool: String,
+    private val zone: String,
+    private val peers: PeerTable,
+    private val chooser: EndpointChooser,
+    private val shares: SlotShares,
+    private val reserve: PriorityReserve,
+) {
+    private var demand: ZoneDemand? = null
+    private var demandAt = 0L
+
+    /** Returns the first of [requests] that may be sent at [now] to one of [endpoints], or null if all should wait. */
+    public fun choose(
+        requests: List<WaitingRequest>,
+        endpoints: Collection<EndpointState>,
+        now: Long,
+    ): ZoneChoice? {
+        if (requests.isEmpty()) return null
+        val slots = ZoneSlots(endpoints, now)
+        if (slots.free == 0) return null
+        val isHomeless = isHomeless(endpoints, now)
+        val demand = demand(endpoints, now)
+        return requests.firstNotNullOfOrNull { request ->
+            when {
+                request.hasAnswerBegun -> chooseAnywhere(request, endpoints, slots, OtherZoneReason.INTERRUPTED, now)
+                isHomeless -> chooseAnywhere(request, endpoints, slots, OtherZoneReason.NO_ENDPOINT, now)
+                else -> choose(request, endpoints, slots, demand, now)
+            }
+        }
+    }
+
+    private fun chooseAnywhere(
+        request: WaitingRequest,
+        endpoints: Collection<EndpointState>,
+        slots: ZoneSlots,
+        reason: OtherZoneReason,
+        now: Long,
+    ): ZoneChoice? {
+        if (!reserve.mayUse(slots.free, slots.all, request.order)) return null
+        val endpoint = chooser.choose(request, endpoints, now) ?: return null
+        return ZoneChoice(request, endpoint, reason.takeIf { !isHome(endpoint) })
+    }
+
+    private fun choose(
+        request: WaitingRequest,
+        endpoints: Collection<EndpointState>,
+        slots: ZoneSlots,
+        demand: ZoneDemand,
+        now: Long,
+    ): ZoneChoice? {
+        val home = if (mayUseHome(request, slots, demand)) chooser.choose(request, endpoints, now, ::isHome) else null
+        val reason = reasonToLeave(request, home, endpoints, now)
+        val other = reason?.let {
+            chooser.choose(request, endpoints, now) { endpoint ->
+                !isHome(endpoint) &&
+                    hasSpareSlot(endpoint.listed.zone, request.order, slots, demand) &&
+                    (it != OtherZoneReason.TOO_SLOW || meetsObjective(request, endpoint, now))
+            }
+        }
+        if (other != null) return ZoneChoice(request, other, reason)
+        return home?.let { ZoneChoice(request, it, reason = null) }
+    }
+
+    private fun mayUseHome(request: WaitingRequest, slots: ZoneSlots, demand: ZoneDemand): Boolean {
+        val reserved = reserve.reservedSlots(slots.all(zone), request.order, demand.gateways(zone))
+        return demand.waitingBefore(request.order) + reserved < slots.free(zone) + slots.free(NO_ZONE)
+    }
+
+    private fun reasonToLeave(
+        request: WaitingRequest,
+        home: EndpointState?,
+        endpoints: Collection<EndpointState>,
+        now: Long,
+    ): OtherZoneReason? = when {
+        home == null -> OtherZoneReason.FULL.takeIf { mayLeave(request, slowestAnswerAtHome(endpoints), now) }
+        now >= request.objectiveEndsAt || meetsObjective(request, home, now) -> null
+        else -> OtherZoneReason.TOO_SLOW
+    }
+
+    /**
+     * Whether [request] has waited for its zone until half of the time to its latest useful send is used up.
+     *
+     * @param slowestAnswer milliseconds of an answer of the slowest application at home
+     */
+    private fun mayLeave(request: WaitingRequest, slowestAnswer: Double, now: Long): Boolean {
+        if (request.hasAnswerBegun) return true
+        val answerMilliseconds = if (request.promptTokens > 0) 0L else slowestAnswer.toLong()
+        val latestSendAt = minOf(request.latestSendAt, request.objectiveEndsAt - answerMilliseconds)
+        return now - request.arrivedAt >= (latestSendAt - request.arrivedAt) * MAXIMUM_WAIT_SHARE
+    }
+
+    private fun slowestAnswerAtHome(endpoints: Collection<EndpointState>): Double =
+        endpoints.filter { isHome(it) && !it.isClosed }.maxOfOrNull { it.paceMilliseconds ?: 0.0 } ?: 0.0
+
+    private fun meetsObjective(request: WaitingRequest, endpoint: EndpointState, now: Long): Boolean =
+        now + expectedFirstEvent(request, endpoint) <= request.objectiveEndsAt
+
+    /** Expected milliseconds from the send of [request] to its first event, 0 without a measurement. */
+    private fun expectedFirstEvent(request: WaitingRequest, endpoint: EndpointState): Double {
+        if (request.promptTokens == 0L) return endpoint.paceMilliseconds ?: 0.0
+        val tokens = endpoint.prefillTokens + request.promptTokens + FIRST_TOKEN_OVERHEAD_TOKENS
+        return tokens * (endpoint.prefillMillisecondsPerToken ?: 0.0)
+    }
+
+    private fun hasSpareSlot(zone: String, order: Int, slots: ZoneSlots, demand: ZoneDemand): Boolean =
+        spareSlots(zone, order, slots, demand) > 0
+
+    /** Free slots of another [zone] beyond what its own gateways need for requests of [order] and above. */
+    private fun spareSlots(zone: String, order: Int, slots: ZoneSlots, demand: ZoneDemand): Int {
+        if (demand.hasWaiting(zone, order)) return 0
+        // The own callers of the zone come first at equal priority, too.
+        val orderOfOwn = if (order == Int.MAX_VALUE) order else order + 1
+        return slots.free(zone) - reserve.reservedSlots(slots.all(zone), orderOfOwn, demand.gateways(zone))
+    }
+
+    /**
+     * Divides the slots of [endpoints] that are free at [now]: those of a zone among its gateways that have waiting
+     * requests of the same or a higher priority than [order], and what these leave among the other gateways.
+     */
+    public fun divide(endpoints: Collection<EndpointState>, order: Int, now: Long) {
+        val isHomeless = isHomeless(endpoints, now)
+        val demand = demand(endpoints, now)
+        val slots = ZoneSlots(endpoints, now)
+        val silentShare = peers.silentCount.toDouble() / peers.gatewayCount
+        endpoints.groupBy { it.listed.zone }.forEach { (zone, members) ->
+            val isOwn = isHomeless || isOwn(zone)
+            val zoneShares = if (isOwn) demand.competing(zone, order) + 1.0 else otherShares(zone, order, slots, demand)
+            val silent = if (isOwn && !isHomeless) demand.silentShare(zone) else silentShare
+            members.forEach { shares.assign(it, zoneShares, silent, now) }
+        }
+    }
+
+    /** Number of equal shares of the free slots of another [zone]; infinite if none of them is spare. */
+    private fun otherShares(zone: String, order: Int, slots: ZoneSlots, demand: ZoneDemand): Double {
+        val spare = spareSlots(zone, order, slots, demand)
+        if (spare <= 0) return Double.POSITIVE_INFINITY
+        return demand.competingOutside(zone, order) * slots.free(zone).toDouble() / spare
+    }
+
+    /** The waiting requests of the highest priority in [queue], for the peers, or null if none waits. */
+    public fun report(queue: WaitingQueue, endpoints: Collection<EndpointState>, now: Long): WaitingReport? {
+        val highest = queue.highestPriority ?: return null
+        val hasFreeSlot = endpoints.any { isHome(it) && !it.isClosed && it.freeSlotsAt(now) > 0 }
+        if (hasFreeSlot) return highest.copy(requests = 0, leaving = 0)
+        val slowestAnswer = slowestAnswerAtHome(endpoints)
+        return highest.copy(
+            leaving = queue.countOfHighestPriority(MAXIMUM_LEAVING) { mayLeave(it, slowestAnswer, now) },
+        )
+    }
+
+    private fun demand(endpoints: Collection<EndpointState>, now: Long): ZoneDemand {
+        demand?.takeIf { now - demandAt < DEMAND_MILLISECONDS }?.let { return it }
+        val servedZones = endpoints.filter { !it.isClosed }.mapTo(HashSet()) { it.listed.zone }
+        return ZoneDemand(pool, zone, peers, servedZones).also {
+            demand = it
+            demandAt = now
+        }
+    }
+
+    /** Whether the own zone has no usable endpoint; one that has refused a request because it is full is usable. */
+    private fun isHomeless(endpoints: Collection<EndpointState>, now: Long): Boolean =
+        endpoints.none { isHome(it) && !it.isClosed && it.suspendedUntil <= now && it.pausedUntil <= now }
+
+    private fun isHome(endpoint: EndpointState) = isOwn(endpoint.listed.zone)
+
+    private fun isOwn(zone: String) = zone == this.zone || zone == NO_ZONE
+
+    private companion object {
+        /** Zone of an endpoint that names none; it is at home everywhere. */
+        const val NO_ZONE = ""
+
+        /**
+         * Share of the time until the latest useful send that a request may wait for its own zone. The rest is for
+         * reports that are late, a refused send and a first event that is slower than forecast.
+         */
+        const val MAXIMUM_WAIT_SHARE = 0.5
+
+        /** Fixed work of a first token in prompt tokens: about 36 ms at an engine that prefills 40 tokens in 1 ms. */
+        const val FIRST_TOKEN_OVERHEAD_TOKENS = 1_500L
+
+        /** Short compared with the 40 ms between two reports of a gateway, long compared with a dispatch. */
+        const val DEMAND_MILLISECONDS = 20L
+
+        /** Limits the cost of a report; other zones rarely have more slots to leave to one gateway. */
+        const val MAXIMUM_LEAVING = 64
+    }
+}
