--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -68,6 +68,7 @@
             bufferedResponses,
             log,
             metrics,
+            settings.zone,
         )
     private val admission = Admission(state, context, settings.requests, random)
     private val unread = UnreadMonitor(loop, clock, settings.callerConnections.maximumUnreadBytes, log, metrics)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -47,6 +47,8 @@
     private var listeners = emptyList<() -> Unit>()
     private var completelyReportedUse = emptyMap<String, Long>()
 
+    private val preferredZone: String? get() = settings.zone.takeIf { settings.zones.preferOwn }
+
     /** Name of this gateway. */
     val name: String get() = settings.name
 
@@ -224,6 +226,7 @@
             changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
             rollouts = if (detail == ReportDetail.LOAD) emptyList() else rollouts.reports(),
+            zone = preferredZone.orEmpty(),
         )
     }
 
@@ -235,7 +238,9 @@
         )
         val chooser = EarliestFirstTokenChooser(random, settings.zone)
         val allowance = RetryAllowance(clock, limit)
-        val pool = PoolDispatcher(name, loop, clock, chooser, SlotShares(random), allowance, peers, connector, stop)
+        val shares = SlotShares(random)
+        val pool =
+            PoolDispatcher(name, loop, clock, chooser, shares, allowance, peers, connector, stop, preferredZone)
         pool.rollouts = rollouts
         pool.onChange = { listeners.forEach { it() } }
         return pool
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -20,9 +20,15 @@
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.zone.ZoneChoice
+import org.guavahatch.scheduling.zone.ZoneRouting
 import java.util.concurrent.TimeUnit
 
-/** Queues the requests of one endpoint pool and dispatches them to its endpoints. */
+/**
+ * Queues the requests of one endpoint pool and dispatches them to its endpoints.
+ *
+ * @param preferredZone zone whose endpoints are preferred, or null if requests go to any zone
+ */
 class PoolDispatcher(
     val name: String,
     private val loop: EventLoop,
@@ -33,11 +39,13 @@
     private val peers: PeerTable,
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
+    preferredZone: String? = null,
 ) {
     private val queue = WaitingQueue()
     private val forecast = QueueForecast()
     private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
+    private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve) }
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
@@ -64,7 +72,11 @@
      * is 0 while slots are free, as the requests then wait for an engine that can prefill them.
      */
     val highestRankWaiting: WaitingReport?
-        get() = queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
+        get() = if (zones != null) {
+            zones.report(queue, endpoints.values, clock.monotonicMilliseconds())
+        } else {
+            queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
+        }
 
     /** Number of submitted requests that have not ended. */
     val openRequests: Int get() = open.size
@@ -141,19 +153,25 @@
     }
 
     private fun newState(listed: ListedEndpoint) = EndpointState(listed).also {
-        divideSlots(listOf(it), clock.monotonicMilliseconds())
+        val now = clock.monotonicMilliseconds()
+        // The division between zones depends on the other endpoints.
+        if (zones != null) zones.divide(endpoints.values + it, highestWaitingOrder, now) else divideSlots(listOf(it), now)
     }
 
-    private fun divideSlots(states: Collection<EndpointState>, now: Long) =
+    private fun divideSlots(states: Collection<EndpointState>, now: Long) {
+        if (zones != null) return zones.divide(states, highestWaitingOrder, now)
         shares.divide(states, competingGateways(), peers.silentCount.toDouble() / peers.gatewayCount, now)
+    }
 
     private fun divideAllSlots(now: Long) {
         divideSlots(endpoints.values, now)
         slotsDividedAt = now
-        slotsDividedFor = queue.highestPriority?.order ?: Int.MAX_VALUE
+        slotsDividedFor = highestWaitingOrder
     }
 
-    private fun competingGateways() = peers.gatewaysWithWaiting(name, queue.highestPriority?.order ?: Int.MAX_VALUE)
+    private val highestWaitingOrder: Int get() = queue.highestPriority?.order ?: Int.MAX_VALUE
+
+    private fun competingGateways() = peers.gatewaysWithWaiting(name, highestWaitingOrder)
 
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
@@ -208,18 +226,52 @@
         val candidates = candidates()
         val free = candidates.serving.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
-        val (request, endpoint) = queue.candidates(now)
-            .filter { activeRequests[it.sequence]?.let { active -> maySend(active, now) } == true }
-            .takeWhile { reserve.mayUse(free, slots, it.order) }
-            .firstNotNullOfOrNull { request ->
-                val route = activeRequests.getValue(request.sequence).plan.route.name
-                candidates.choose(chooser, request, route, now)?.let { request to it }
-            }
-            ?: return false
-        send(request, endpoint, now)
+        val sendable = queue.candidates(now).filter { isSendable(it, now) }
+        val choice = if (zones != null) {
+            chooseByZone(zones, sendable, candidates, now)
+        } else {
+            choose(sendable, candidates, free, now)
+        }
+        send(choice ?: return false, now)
         return true
     }
 
+    private fun choose(requests: List<WaitingRequest>, candidates: RolloutCandidates, free: Int, now: Long) = requests
+        .takeWhile { reserve.mayUse(free, slots, it.order) }
+        .firstNotNullOfOrNull { request ->
+            val choose = anyZone(request, now)
+            candidates.choose(request, routeOf(request), choose, choose)
+        }
+
+    private fun anyZone(request: WaitingRequest, now: Long) = { endpoints: Collection<EndpointState> ->
+        chooser.choose(request, endpoints, now)?.let { ZoneChoice(request, it, reason = null) }
+    }
+
+    /**
+     * A late request may leave its zone at once, so it is tried even behind the first few that are on time. A version
+     * under test may have endpoints in a few zones only, so requests that it is due for go to any zone.
+     */
+    private fun chooseByZone(
+        zones: ZoneRouting,
+        requests: List<WaitingRequest>,
+        candidates: RolloutCandidates,
+        now: Long,
+    ): ZoneChoice? {
+        val late = queue.firstLate(now)?.takeIf { it !in requests && isSendable(it, now) }
+        val tried = requests + listOfNotNull(late)
+        if (!candidates.isLimited) return zones.choose(tried, endpoints.values, now)
+        return tried.firstNotNullOfOrNull { request ->
+            candidates.choose(request, routeOf(request), anyZone(request, now)) {
+                zones.choose(listOf(request), it, now)
+            }
+        }
+    }
+
+    private fun routeOf(request: WaitingRequest) = activeRequests.getValue(request.sequence).plan.route.name
+
+    private fun isSendable(request: WaitingRequest, now: Long) =
+        activeRequests[request.sequence]?.let { maySend(it, now) } == true
+
     private fun maySend(active: ActiveRequest, now: Long) = active.maySendAt(now) && !isTooLateForStop(active, now)
 
     /** Whether [active] is not expected to end before a planned stop does. A response that has begun goes on. */
@@ -230,10 +282,10 @@
         return !stop.allowsSendAt(now, expected ?: (route.timeoutMilliseconds / UNKNOWN_TIMEOUT_DIVISOR))
     }
 
-    private fun send(request: WaitingRequest, endpoint: EndpointState, now: Long) {
-        queue.remove(request)
+    private fun send(choice: ZoneChoice, now: Long) {
+        queue.remove(choice.request)
         forecast.recordDispatch(now, hasMoreWaiting = queue.size > 0)
-        activeRequests.remove(request.sequence)?.dispatch(endpoint)
+        activeRequests.remove(choice.request.sequence)?.dispatch(choice.endpoint, choice.reason)
     }
 
     private fun refuseWithdrawnKeys() = activeRequests.values.filter { it.isKeyWithdrawn }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
@@ -1,6 +1,5 @@
 package org.guavahatch.gateway.request
 
-import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.WaitingRequest
 import org.guavahatch.scheduling.rollout.PoolRollout
@@ -16,18 +15,26 @@
     /** The endpoints that requests of no particular route may use: the capacity that counts. */
     val serving: Collection<EndpointState> get() = of(NO_ROUTE)
 
+    /** Whether a rollout limits the sends. */
+    val isLimited: Boolean get() = rollout != null
+
     /**
-     * Chooses the endpoint for [request] of [route] with [chooser]. While the target version is due for the route, its
-     * endpoints are tried first, since a slow version would get too few requests otherwise to be judged. A request that
-     * avoids an endpoint chooses among all.
+     * Lets [choose] choose for [request] of [route]. While the target version is due for the route, its endpoints are
+     * offered first, to [chooseTarget], since a slow version would get too few requests otherwise to be judged. A request
+     * that avoids an endpoint chooses among all.
      */
-    fun choose(chooser: EndpointChooser, request: WaitingRequest, route: String, now: Long): EndpointState? {
-        if (rollout == null) return chooser.choose(request, endpoints, now)
+    fun <T : Any> choose(
+        request: WaitingRequest,
+        route: String,
+        chooseTarget: (Collection<EndpointState>) -> T?,
+        choose: (Collection<EndpointState>) -> T?,
+    ): T? {
+        if (rollout == null) return choose(endpoints)
         val candidates = of(route)
         val isTargetDue = request.avoidedEndpoints.isEmpty() && rollout.isTargetDue(route)
         val preferred = if (isTargetDue) candidates.filter { rollout.isTarget(it.listed) } else emptyList()
-        val first = if (preferred.isEmpty()) null else chooser.choose(request, preferred, now)
-        return first ?: chooser.choose(request, candidates, now)
+        val first = if (preferred.isEmpty()) null else chooseTarget(preferred)
+        return first ?: choose(candidates)
     }
 
     private fun of(route: String): Collection<EndpointState> {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -20,10 +20,19 @@
     /** Number of registered gateways without a recent report that may still be running and serving callers. */
     public val silentCount: Int get() {
         val now = clock.monotonicMilliseconds()
-        return registeredSince.count { (name, since) ->
-            val last = maxOf(since, received[name]?.receivedAt ?: since)
-            now - last in silenceMilliseconds + 1..MAXIMUM_SILENCE_MILLISECONDS
-        }
+        return registeredSince.count { (name, since) -> isSilent(name, since, now) }
+    }
+
+    /** Zone of each gateway that counts in [silentCount], as last reported; empty if unknown. */
+    public val silentZones: List<String> get() {
+        val now = clock.monotonicMilliseconds()
+        return registeredSince.filter { (name, since) -> isSilent(name, since, now) }
+            .map { (name, _) -> received[name]?.report?.zone.orEmpty() }
+    }
+
+    private fun isSilent(name: String, since: Long, now: Long): Boolean {
+        val last = maxOf(since, received[name]?.receivedAt ?: since)
+        return now - last in silenceMilliseconds + 1..MAXIMUM_SILENCE_MILLISECONDS
     }
 
     /** Sets the [names] of all other registered gateways. */
@@ -103,6 +112,7 @@
  * @property changedUse [AccountReport.use] of the accounts whose use has changed since the last message with [accounts]
  * @property quarantine what the gateway tells of prompt parts that end endpoints
  * @property rollouts what the gateway tells of rollouts
+ * @property zone zone that the gateway prefers; empty if it prefers none or is of an older release
  */
 public data class PeerReport(
     public val name: String,
@@ -115,6 +125,7 @@
     public val changedUse: Map<String, Long> = emptyMap(),
     public val quarantine: QuarantineReport = QuarantineReport(),
     public val rollouts: List<RolloutReport> = emptyList(),
+    public val zone: String = "",
 )
 
 /**
@@ -134,8 +145,9 @@
  *
  * @property order [WaitingRequest.order] of the requests; lower values have priority
  * @property requests number of requests that wait for a free slot
+ * @property leaving number of requests that may leave their zone now, or null if the gateway prefers no zone
  */
-public data class WaitingReport(public val order: Int, public val requests: Int)
+public data class WaitingReport(public val order: Int, public val requests: Int, public val leaving: Int? = null)
 
 /**
  * Requests of one gateway at one endpoint.
