--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -11,7 +11,6 @@
 import org.guavahatch.gateway.control.ControlServer
 import org.guavahatch.gateway.control.GatewayState
 import org.guavahatch.gateway.endpoint.EndpointConnector
-import org.guavahatch.gateway.endpoint.ProcessEndDetector
 import org.guavahatch.gateway.endpoint.UnexpectedBytes
 import org.guavahatch.gateway.endpoint.putUnexpectedBytes
 import org.guavahatch.gateway.observation.DecisionLog
@@ -58,7 +57,6 @@
             clock,
             headers,
             connector,
-            ProcessEndDetector(connector, clock),
             state.quarantine,
             state.rollouts,
             state.ledger,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestContext.kt
@@ -19,7 +19,6 @@
  * @property clock source of time
  * @property headers header names of the deployment
  * @property connector opens and pools connections to endpoints
- * @property processEnds detects endpoints whose process has ended
  * @property quarantine requests that must not be sent because their prompts end endpoints
  * @property rollouts rollouts, which limit the sends to a version and judge its answers
  * @property ledger quota use of client accounts
@@ -33,7 +32,6 @@
     val clock: Clock,
     val headers: GatewayHeaders,
     val connector: EndpointConnector,
-    val processEnds: ProcessEndDetector,
     val quarantine: QuarantineControl,
     val rollouts: RolloutControl,
     val ledger: AccountLedger,
@@ -42,6 +40,9 @@
     val log: DecisionLog,
     val metrics: GatewayMetrics,
 ) {
+    /** Detects endpoints whose process has ended. */
+    val processEnds: ProcessEndDetector = ProcessEndDetector(connector, clock)
+
     /** Builds the messages that are forwarded between callers and endpoints. */
     val messages: ForwardedMessages = ForwardedMessages(headers)
 }
