--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceLedger.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceLedger.kt
@@ -49,20 +49,28 @@
 
     /** Replaces what [lifetime] has reported; returns false if [evidence] is older than that. */
     fun merge(lifetime: Lifetime, evidence: Map<EvidenceKey, EvidenceCounts>): Boolean {
+        if (evidence.size > MAXIMUM_REPORTED_KEYS) return false
         val known = reported[lifetime].orEmpty()
-        if (evidence.values.sumOf { it.answers } < known.values.sumOf { it.answers }) return false
-        val newer = evidence.entries.take(MAXIMUM_REPORTED_KEYS).associate { it.key to it.value }
-        (known.keys + newer.keys).forEach { key ->
-            val (before, after) = known[key] to newer[key]
-            if (before == after) return@forEach
-            val sum = sums.getOrPut(key, ::CountVector)
-            before?.let { sum.add(it, factor = -1) }
-            after?.let { sum.add(it) }
-        }
-        reported[lifetime] = newer
+        if (answersOf(evidence) < answersOf(known)) return false
+        evidence.forEach { (key, counts) -> replace(key, known[key], counts) }
+        known.forEach { (key, counts) -> if (key !in evidence) replace(key, counts, null) }
+        reported[lifetime] = evidence
         return true
     }
 
+    private fun answersOf(evidence: Map<EvidenceKey, EvidenceCounts>): Long {
+        var answers = 0L
+        evidence.forEach { answers += it.value.answers }
+        return answers
+    }
+
+    private fun replace(key: EvidenceKey, before: EvidenceCounts?, after: EvidenceCounts?) {
+        if (before == after) return
+        val sum = sums.getOrPut(key, ::CountVector)
+        before?.let { sum.add(it, factor = -1) }
+        after?.let { sum.add(it) }
+    }
+
     /** Counts of this gateway. Lists are built again only for what has changed since the last report. */
     fun ownCounts(): Map<EvidenceKey, EvidenceCounts> {
         own.forEach { (key, vector) -> if (told[key]?.answers != vector.answers) told[key] = vector.toCounts() }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -167,17 +167,21 @@
     }
 
     /** Whether what this gateway knows of the rollout is recent enough to send requests to the target version. */
-    private fun mayTest() = knowsPhase &&
-        !hasMissedReviews() &&
-        !(isIsolated() && elapsed() >= times.limit) &&
-        (phase != RolloutPhase.RUNNING || elapsed() < times.limit)
+    private fun mayTest(): Boolean {
+        if (!knowsPhase || hasMissedReviews()) return false
+        if (elapsed() >= times.limit) return phase == RolloutPhase.PROMOTING && !isIsolated()
+        return phase == RolloutPhase.PROMOTING || !isUnheardFor((limits.rollbackMilliseconds * UNHEARD_SHARE).toLong())
+    }
 
     private fun hasMissedReviews() = reviewedAt?.let { clock.monotonicMilliseconds() - it > LONGEST_GAP } == true
 
-    /** Whether neither the store nor any peer was heard lately, although there are peers. */
-    private fun isIsolated(): Boolean {
+    /** Whether what this gateway decides alone may be contrary to what the others have decided meanwhile. */
+    private fun isIsolated() = isUnheardFor(ISOLATED_AFTER)
+
+    /** Whether neither the store nor any peer was heard for [milliseconds], although there are peers. */
+    private fun isUnheardFor(milliseconds: Long): Boolean {
         val heardAt = listOfNotNull(recordHeardAt, peers.heardAt).maxOrNull() ?: startedAt
-        return gateways > 1 && clock.monotonicMilliseconds() - heardAt > ISOLATED_AFTER
+        return gateways > 1 && clock.monotonicMilliseconds() - heardAt > milliseconds
     }
 
     private fun elapsed() = clock.monotonicMilliseconds() - startedAt
@@ -285,6 +289,9 @@
         /** Time in which a record is read and several reports arrive. */
         const val HOLD_BACK = 1_000L
 
+        /** The others find a version bad in the rest of the time allowed for a rollback. */
+        const val UNHEARD_SHARE = 0.6
+
         /** Two reads of the record and ten reports of each peer. */
         const val ISOLATED_AFTER = 2_000L
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
@@ -42,13 +42,11 @@
     }
 
     private fun findFailures(evidence: Evidence, logChance: Double): Finding? {
-        val all = strataOf(evidence) { slice, route -> failures(evidence, slice, route, isCrash = false) }
-        val withCrash = strataOf(evidence) { slice, route -> failures(evidence, slice, route, isCrash = true) }
-        val hasLoss = evidence.slices.map { slice -> slice.any { it.key.isTarget && it.value.lost > 0 } }
-        return WINDOWS.firstNotNullOfOrNull { window ->
-            val isCrash = hasLoss.takeLast(window).count { it } < LEAST_LOSS_SLICES
-            findIn(if (isCrash) withCrash else all, window, FAILURE_EFFECT, logChance)
-        }?.let { Finding("failures", it) }
+        val strata = strataOf(evidence) { slice, route ->
+            stratum(evidence, slice, route) { it.answers to it.failures + it.lost }
+        }
+        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, FAILURE_EFFECT, logChance) }
+            ?.let { Finding("failures", it) }
     }
 
     private fun findSlowness(evidence: Evidence, histogram: Histogram, logChance: Double): Finding? {
@@ -81,20 +79,9 @@
         }
     }
 
-    /** With [isCrash], all losses in a slice count as one, as the crash of one process loses many requests. */
-    private fun failures(evidence: Evidence, slice: Int, route: String, isCrash: Boolean): Stratum? {
-        val counts = evidence.slices[slice]
-        val firstWithLoss = evidence.routes.firstOrNull { (counts[EvidenceKey(it, isTarget = true)]?.lost ?: 0) > 0 }
-        return stratum(evidence, slice, route) { vector, isTarget ->
-            val counted = if (route == firstWithLoss) 1L else 0L
-            val surplus = if (isTarget && isCrash) maxOf(0, vector.lost - counted) else 0
-            vector.answers - surplus to vector.failures + vector.lost - surplus
-        }
-    }
-
     private fun slow(evidence: Evidence, slice: Int, route: String, histogram: Histogram, lastBucket: Int): Stratum? =
-        stratum(evidence, slice, route) { counts, _ ->
-            counts.countAfter(histogram, -1) to counts.countAfter(histogram, lastBucket)
+        stratum(evidence, slice, route) {
+            it.countAfter(histogram, -1) to it.countAfter(histogram, lastBucket)
         }
 
     /** Compares with the old side in the same slice, or with all its answers if that has too few. */
@@ -102,15 +89,19 @@
         evidence: Evidence,
         slice: Int,
         route: String,
-        countsOf: (CountVector, Boolean) -> Pair<Long, Long>,
+        countsOf: (CountVector) -> Pair<Long, Long>,
     ): Stratum? {
         val targetCounts = evidence.slices[slice][EvidenceKey(route, isTarget = true)] ?: return null
-        val (target, targetBad) = countsOf(targetCounts, true)
+        val (target, targetBad) = countsOf(targetCounts)
         val key = EvidenceKey(route, isTarget = false)
-        val (previous, previousBad) = evidence.slices[slice][key]?.let { countsOf(it, false) } ?: (0L to 0L)
-        if (previous * 2 >= target) return Stratum(target, targetBad, previous, previousBad, isSimultaneous = true)
-        val (all, allBad) = evidence.total[key]?.let { countsOf(it, false) } ?: return null
-        return Stratum(target, targetBad, all, allBad, isSimultaneous = false)
+        val (previous, previousBad) = evidence.slices[slice][key]?.let { countsOf(it) } ?: (0L to 0L)
+        if (previous * 2 >=
+            target
+        ) {
+            return Stratum(slice, target, targetBad, previous, previousBad, isSimultaneous = true)
+        }
+        val (all, allBad) = evidence.total[key]?.let { countsOf(it) } ?: return null
+        return Stratum(slice, target, targetBad, all, allBad, isSimultaneous = false)
     }
 
     private companion object {
@@ -128,8 +119,5 @@
 
         /** Larger than for failures, as endpoints of one pool differ in speed and load. */
         const val SLOWNESS_EFFECT = 0.1
-
-        /** The crash of a single process is seen in one slice, or in two if the reports of it are late. */
-        const val LEAST_LOSS_SLICES = 3
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/SlownessBound.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/SlownessBound.kt
@@ -30,16 +30,18 @@
      */
     fun lastBucket(previous: CountVector, histogram: Histogram, endpointBuckets: List<Int>): Int? {
         if (previous.countAfter(histogram, -1) < LEAST_ANSWERS) return null
-        val median = previous.quantile(histogram, 0.5) ?: return null
-        val upper = previous.quantile(histogram, UPPER_QUANTILE) ?: return null
-        val bound = maxOf(
-            MEDIAN_FACTOR * DurationBuckets.middleOf(median),
-            UPPER_FACTOR * DurationBuckets.middleOf(upper),
-        )
-        val spread = if (areAllObserved(previous, endpointBuckets)) 1.0 else SPEED_SPREAD
-        return DurationBuckets.indexOf(bound * spread)
+        val median = quantile(previous, histogram, 0.5) ?: return null
+        val upper = quantile(previous, histogram, UPPER_QUANTILE) ?: return null
+        val lower = quantile(previous, histogram, 1 - UPPER_QUANTILE) ?: return null
+        val bound = maxOf(MEDIAN_FACTOR * median, UPPER_FACTOR * upper)
+        if (areAllObserved(previous, endpointBuckets)) return DurationBuckets.indexOf(bound)
+        // The answers below the median show how much the answers of the fast engines differ.
+        return DurationBuckets.indexOf(maxOf(bound, SPEED_SPREAD * median * (median / lower)))
     }
 
+    private fun quantile(counts: CountVector, histogram: Histogram, share: Double) =
+        counts.quantile(histogram, share)?.let { DurationBuckets.middleOf(it) }
+
     /** Whether the answers came from nearly all endpoints, so that they show how the endpoints differ in speed. */
     private fun areAllObserved(previous: CountVector, endpointBuckets: List<Int>): Boolean {
         val total = (0 until EndpointSample.COUNT).sumOf { previous.endpointAnswers(it) }
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/RolloutSimulationTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/RolloutSimulationTest.kt
@@ -22,6 +22,11 @@
             if (it.isTarget) 0.0 else 0.05
         }),
         RolloutCase("good, both fail now and then", isBad = false, failureShare = { 0.05 }),
+        RolloutCase(
+            "good, each endpoint fails for half a second now and then",
+            isBad = false,
+            failureShare = { if ((it.now + it.endpoint * 3_700) % 10_000 < 500) 0.8 else 0.0 },
+        ),
         RolloutCase("good, failures of both sides", isBad = false, failureShare = { if (impaired(it)) 0.4 else 0.0 }),
         RolloutCase("good, both sides slow", isBad = false, slowness = { if (impaired(it)) 4.0 else 1.0 }),
         RolloutCase("good, no traffic on a route", isBad = false, routeWeights = listOf(5, 0, 5)),
@@ -42,10 +47,11 @@
         RolloutCase("bad, little traffic", isBad = true, failureShare = {
             if (it.isTarget) 0.3 else 0.0
         }, requestsPerSecond = 80),
+        RolloutCase("bad, 15 in 100", isBad = true, failureShare = { if (it.isTarget) 0.15 else 0.0 }),
         RolloutCase(
-            "bad, gateways killed and cut off",
+            "bad from half, gateways killed and cut off",
             isBad = true,
-            failureShare = { if (it.isTarget) 0.3 else 0.0 },
+            failureShare = { if (it.isTarget && it.now > 6_000) 0.3 else 0.0 },
             restarted = 5,
             cutOff = 5,
         ),
@@ -56,8 +62,8 @@
         RolloutCase("slow by 3, little traffic", isBad = true, slowness = {
             if (it.isTarget) 3.0 else 1.0
         }, requestsPerSecond = 80),
-        RolloutCase("good, 300 gateways", isBad = false, gateways = 300, requestsPerSecond = 600),
-        RolloutCase("bad at once, 300 gateways", isBad = true, gateways = 300, requestsPerSecond = 600, failureShare = {
+        RolloutCase("good, 300 gateways", isBad = false, gateways = 300, observers = 15, requestsPerSecond = 600),
+        RolloutCase("bad at once, 300 gateways", isBad = true, gateways = 300, observers = 15, requestsPerSecond = 600, failureShare = {
             if (it.isTarget) 0.3 else 0.0
         }),
     )
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/SimulatedRollout.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/SimulatedRollout.kt
@@ -10,7 +10,7 @@
 import kotlin.random.asJavaRandom
 
 /** What an answer depends on: its side, route and time, and the requests running at its endpoint. */
-class AnswerConditions(val isTarget: Boolean, val route: Int, val now: Long, val running: Int)
+class AnswerConditions(val isTarget: Boolean, val route: Int, val now: Long, val running: Int, val endpoint: Int)
 
 /**
  * A rollout to simulate.
@@ -19,7 +19,8 @@
  * @property failureShare chance that an answer is a failure
  * @property slowness factor on the durations of an answer
  * @property restarted gateways that are killed at 3 s and start again at 5 s
- * @property cutOff gateways that hear no peers and no store from 4 s to 8 s
+ * @property cutOff gateways that hear no peers and no store from 4 s to 9.5 s
+ * @property observers gateways that hear all evidence; the others hear their phase only, which saves time
  * @property speeds factors on the durations of the engines of both sides
  * @property requestsPerSecond requests of all callers
  */
@@ -31,6 +32,7 @@
     val slowness: (AnswerConditions) -> Double = { 1.0 },
     val restarted: Int = 0,
     val cutOff: Int = 0,
+    val observers: Int = gateways,
     val speeds: List<Double> = listOf(0.6, 1.7, 1.7),
     val requestsPerSecond: Int = 300,
     val routeWeights: List<Int> = listOf(5, 3, 2),
@@ -175,10 +177,14 @@
             if (rollout !== mine) return
             val sent = mine.report(openOnPrevious)
             val run = "$incarnation"
-            gateways.filter { it !== this && !isCutOff(index) && !isCutOff(it.index) }.forEach { peer ->
-                if (random.nextDouble() < LOSS) return@forEach
-                schedule(random.nextLong(40, 130)) { peer.rollout?.mergePeer("gateway-$index", run, sent) }
-            }
+            val hearers = gateways.take(case.observers).map { it to sent } +
+                (case.observers until gateways.size).shuffled(random).take(case.observers)
+                    .map { gateways[it] to sent.copy(evidence = emptyMap()) }
+            hearers.filter { it.first !== this && !isCutOff(index) && !isCutOff(it.first.index) }
+                .filter { random.nextDouble() >= LOSS }
+                .forEach { (peer, told) ->
+                    schedule(random.nextLong(40, 130)) { peer.rollout?.mergePeer("gateway-$index", run, told) }
+                }
             schedule(REPORT) { report(mine) }
         }
 
@@ -200,7 +206,14 @@
         }
 
         private fun run(mine: PoolRollout, endpoint: Endpoint, route: Int, isTarget: Boolean) {
-            val conditions = AnswerConditions(isTarget, route, clock.monotonicMilliseconds(), endpoint.running)
+            val conditions =
+                AnswerConditions(
+                    isTarget,
+                    route,
+                    clock.monotonicMilliseconds(),
+                    endpoint.running,
+                    endpoints.indexOf(endpoint),
+                )
             val isFailure = random.nextDouble() < case.failureShare(conditions)
             val slowness = case.slowness(conditions)
             val noise = exp(0.25 * random.asJavaRandom().nextGaussian())
@@ -240,6 +253,6 @@
         private const val REVIEW = 100L
         private const val WRITE_DELAY = 300L
         private const val START_SPREAD = 200L
-        private val CUT = 4_000L..8_000L
+        private val CUT = 4_000L..9_500L
     }
 }
