--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -177,8 +177,12 @@
 
     override fun onRolloutOrderRefused(pool: String, reason: String) = rollouts.refuse(pool, reason)
 
-    override fun onRolloutRecord(pool: String, record: RolloutRecord?, elapsedMilliseconds: Long) =
-        rollouts.onRecord(pool, record, elapsedMilliseconds)
+    override fun onRolloutRecord(
+        pool: String,
+        record: RolloutRecord?,
+        withdrawn: Set<String>,
+        elapsedMilliseconds: Long,
+    ) = rollouts.onRecord(pool, record, withdrawn, elapsedMilliseconds)
 
     override fun onDependencyLost(dependency: String, reason: String) = log.write("dependency.lost") {
         put("dependency", dependency)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
@@ -57,9 +57,10 @@
     /**
      * The store holds [record] as the state of the rollout of [pool], or none if it is null.
      *
+     * @param withdrawn versions that earlier orders have tested and that did not complete
      * @param elapsedMilliseconds time since the start of the rollout by the store's clock
      */
-    fun onRolloutRecord(pool: String, record: RolloutRecord?, elapsedMilliseconds: Long)
+    fun onRolloutRecord(pool: String, record: RolloutRecord?, withdrawn: Set<String>, elapsedMilliseconds: Long)
 
     /** The connection to [dependency] was lost, for [reason]. */
     fun onDependencyLost(dependency: String, reason: String)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -52,10 +52,10 @@
     val states: List<RolloutState> get() = tracked.values.map { it.state() }
 
     /** The rollout of [pool] in the order that came last, or null if sends to the pool are not limited. */
-    fun find(pool: String): PoolRollout? {
+    internal fun find(pool: String): TrackedRollout? {
         val found = tracked[pool] ?: return null
         detectGap()
-        return found.rollout
+        return found
     }
 
     /** The configuration in force names [names] as pools of its routes. */
@@ -88,6 +88,7 @@
         val previous = tracked[order.pool]
         val isContinued = previous?.rollout?.continueWith(order) == true
         val current = if (isContinued) previous!! else TrackedRollout(newRollout(order, settings, isAtStart))
+        if (previous != null) current.withdrawn = previous.withdrawnFor(order.targetVersion)
         tracked[order.pool] = current
         current.changedAt = clock.monotonicMilliseconds()
         current.loggedPhase = current.rollout.phase
@@ -101,10 +102,11 @@
             if (previous != null && !isContinued) {
                 put("replaced", previous.rollout.order.revision)
                 put("replaced-phase", previous.rollout.phase.name.lowercase())
+                put("withdrawn", current.withdrawn.sorted().joinToString(" "))
             }
         }
         metrics?.watchPhase(order.pool) { tracked[order.pool]?.rollout?.phase }
-        current.rollout.updateEndpoints(endpointsOf(order.pool))
+        current.rollout.updateEndpoints(usable(current))
         current.rollout.updateGateways(peers.gatewayCount)
         read(current)
         scheduleReviews()
@@ -119,20 +121,28 @@
     )
 
     /**
-     * The store holds [record] for [pool], [elapsedMilliseconds] after the start of the rollout by its clock; null if
-     * it holds none.
+     * The store holds [record] for [pool] with the [withdrawn] versions, [elapsedMilliseconds] after the start of the
+     * rollout by its clock; null if it holds none.
      */
-    fun onRecord(pool: String, record: RolloutRecord?, elapsedMilliseconds: Long) {
+    fun onRecord(pool: String, record: RolloutRecord?, withdrawn: Set<String>, elapsedMilliseconds: Long) {
         val current = tracked[pool] ?: return
         val order = current.rollout.order
         // A newer order than the one known here arrives with the feed.
         if (record != null && record.order.revision > order.revision) return
         if (record == null || record.order.revision < order.revision) return save(current)
+        withdraw(current, withdrawn)
         current.rollout.onRecord(record, elapsedMilliseconds)
         notePhase(current, "store")
         if (!record.phase.isEnd && record.phase != current.rollout.phase) save(current)
     }
 
+    /** A gateway that has not seen the earlier orders learns from the record which versions they tested. */
+    private fun withdraw(current: TrackedRollout, versions: Set<String>) {
+        if (current.withdrawn.containsAll(versions)) return
+        current.withdrawn += versions
+        current.rollout.updateEndpoints(usable(current))
+    }
+
     /** The gateway [name] has sent [reports]. */
     fun onPeerReports(name: String, incarnation: String, reports: List<RolloutReport>) = reports.forEach { report ->
         val current = tracked[report.pool] ?: return@forEach
@@ -163,9 +173,10 @@
         endpoints.remove(id)?.let { updateEndpoints(it.pool) }
     }
 
-    private fun updateEndpoints(pool: String) = tracked[pool]?.rollout?.updateEndpoints(endpointsOf(pool))
+    private fun updateEndpoints(pool: String) = tracked[pool]?.let { it.rollout.updateEndpoints(usable(it)) }
 
-    private fun endpointsOf(pool: String) = endpoints.values.filter { it.pool == pool }
+    private fun usable(current: TrackedRollout) =
+        endpoints.values.filter { it.pool == current.rollout.order.pool && it.version !in current.withdrawn }
 
     /**
      * A request of [route] is being sent to [endpoint]. A send to the target version counts from now on, so that the
@@ -173,7 +184,7 @@
      */
     fun onDispatched(route: String, endpoint: ListedEndpoint) {
         openSends.add(endpoint.pool, endpoint.version)
-        val rollout = find(endpoint.pool) ?: return
+        val rollout = find(endpoint.pool)?.rollout ?: return
         if (rollout.isTarget(endpoint)) rollout.recordSend(route, endpoint)
     }
 
@@ -253,8 +264,8 @@
 
     private fun save(current: TrackedRollout) {
         val order = current.rollout.order
-        val previous = endpointsOf(order.pool).mapNotNull { it.version }.toSet() - order.targetVersion
-        store?.save(RolloutRecord(order, current.rollout.phase, previous))
+        val previous = usable(current).mapNotNull { it.version }.toSet() - order.targetVersion
+        store?.save(RolloutRecord(order, current.rollout.phase, previous), current.withdrawn)
     }
 
     /** Logs a change of phase that came from [origin]; false if there was none. */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutStore.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutStore.kt
@@ -8,8 +8,8 @@
     fun read(pool: String)
 
     /**
-     * Writes [record] after a random delay, unless the stored one is of a newer order or at least as final. A failed
+     * Writes [record], with the [withdrawn] versions that earlier orders have tested, after a random delay, unless the stored one is of a newer order or at least as final. A failed
      * write is repeated.
      */
-    fun save(record: RolloutRecord)
+    fun save(record: RolloutRecord, withdrawn: Set<String>)
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
@@ -1,5 +1,6 @@
 package org.guavahatch.gateway.control
 
+import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.rollout.PoolRollout
 import org.guavahatch.scheduling.rollout.RolloutPhase
@@ -7,6 +8,12 @@
 
 /** A rollout of one pool, and what its control keeps beside the decisions. All times are monotonic milliseconds. */
 internal class TrackedRollout(val rollout: PoolRollout) {
+    /**
+     * Versions that earlier orders have tested and that did not complete. They get no request: as part of the old side
+     * they would get most of them.
+     */
+    var withdrawn: Set<String> = emptySet()
+
     private val peerReports = HashMap<String, RolloutReport>()
 
     /** Last phase that was logged. */
@@ -21,6 +28,14 @@
     /** Time of the last read of the record. */
     var readAt: Long = 0
 
+    /** Whether the next request of [route] may be sent to [endpoint]. */
+    fun mayUse(route: String, endpoint: ListedEndpoint): Boolean =
+        endpoint.version !in withdrawn && rollout.mayUse(route, endpoint)
+
+    /** Versions that an order to [target] must not use, if it replaces this rollout. */
+    fun withdrawnFor(target: String): Set<String> =
+        if (rollout.phase == RolloutPhase.COMPLETED) emptySet() else withdrawn + rollout.order.targetVersion - target
+
     /** Keeps the last [report] of the gateway [name]. */
     fun notePeer(name: String, report: RolloutReport) {
         peerReports[name] = report
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
@@ -1,16 +1,16 @@
 package org.guavahatch.gateway.request
 
+import org.guavahatch.gateway.control.TrackedRollout
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.WaitingRequest
-import org.guavahatch.scheduling.rollout.PoolRollout
 
 /**
  * The endpoints of a pool to which a rollout allows sends now; all if there is none. Valid for one dispatch.
  *
- * @property rollout the rollout of the pool, or null
+ * @property tracked the rollout of the pool, or null
  */
-internal class RolloutCandidates(private val rollout: PoolRollout?, private val endpoints: Collection<EndpointState>) {
+internal class RolloutCandidates(private val tracked: TrackedRollout?, private val endpoints: Collection<EndpointState>) {
     private val candidatesByRoute = HashMap<String, List<EndpointState>>()
 
     /** The endpoints that requests of no particular route may use: the capacity that counts. */
@@ -22,7 +22,7 @@
      * avoids an endpoint chooses among all.
      */
     fun choose(chooser: EndpointChooser, request: WaitingRequest, route: String, now: Long): EndpointState? {
-        if (rollout == null) return chooser.choose(request, endpoints, now)
+        val rollout = tracked?.rollout ?: return chooser.choose(request, endpoints, now)
         val candidates = of(route)
         val isTargetDue = request.avoidedEndpoints.isEmpty() && rollout.isTargetDue(route)
         val preferred = if (isTargetDue) candidates.filter { rollout.isTarget(it.listed) } else emptyList()
@@ -31,7 +31,7 @@
     }
 
     private fun of(route: String): Collection<EndpointState> {
-        val limit = rollout ?: return endpoints
+        val limit = tracked ?: return endpoints
         return candidatesByRoute.getOrPut(route) { endpoints.filter { limit.mayUse(route, it.listed) } }
     }
 
