--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -163,7 +163,8 @@
     private fun mayUseWhilePromoting(endpoint: ListedEndpoint): Boolean {
         if (mayTest()) return isTarget(endpoint) || endpoints.target.isEmpty()
         // The rollout may have been completed meanwhile, and old endpoints get no request then.
-        val isHeldBack = clock.monotonicMilliseconds() - maxOf(unknownSince, reviewedAt ?: 0) <= HOLD_BACK
+        val sinceUnknown = clock.monotonicMilliseconds() - unknownSince
+        val isHeldBack = hasMissedReviews() || (!knowsPhase && sinceUnknown <= HOLD_BACK)
         return !isTarget(endpoint) && !isHeldBack
     }
 
