--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -79,7 +79,7 @@
             chooser.choose(request, endpoints, now) { endpoint ->
                 !isHome(endpoint) &&
                     hasSpareSlot(endpoint.listed.zone, request.order, slots, demand) &&
-                    (it != OtherZoneReason.TOO_SLOW || meetsObjective(request, endpoint, now))
+                    (it != OtherZoneReason.TOO_SLOW || isClearlyFaster(request, endpoint, checkNotNull(home), now))
             }
         }
         if (other != null) return ZoneChoice(request, other, reason)
@@ -120,6 +120,10 @@
     private fun meetsObjective(request: WaitingRequest, endpoint: EndpointState, now: Long): Boolean =
         now + expectedFirstEvent(request, endpoint) <= request.objectiveEndsAt
 
+    private fun isClearlyFaster(request: WaitingRequest, endpoint: EndpointState, home: EndpointState, now: Long) =
+        meetsObjective(request, endpoint, now) &&
+            expectedFirstEvent(request, endpoint) <= expectedFirstEvent(request, home) * FASTER_SHARE
+
     /** Expected milliseconds from the send of [request] to its first event, 0 without a measurement. */
     private fun expectedFirstEvent(request: WaitingRequest, endpoint: EndpointState): Double {
         if (request.promptTokens == 0L) return endpoint.paceMilliseconds ?: 0.0
@@ -200,6 +204,9 @@
          */
         const val MAXIMUM_WAIT_SHARE = 0.5
 
+        /** Estimates of equal endpoints differ by less, so requests do not leave because of their noise. */
+        const val FASTER_SHARE = 0.75
+
         /** Fixed work of a first token in prompt tokens: about 36 ms at an engine that prefills 40 tokens in 1 ms. */
         const val FIRST_TOKEN_OVERHEAD_TOKENS = 1_500L
 
