--- a/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/GatewayMain.kt
@@ -44,6 +44,8 @@
         if (arguments.isCheckOnly) return
         val incarnation = Random(System.nanoTime()).nextLong(Long.MAX_VALUE).toString(INCARNATION_RADIX)
         val gateway = PlatformGateway(settings, incarnation, SystemClock)
+        val guard = EventLoopGuard(gateway::isEventLoopRunning, gateway.log)
+        guard.watchThreads()
         startOrExit(gateway)
         if (arguments.isRehearsal) rehearse()
         watcher = SettingsWatcher(Path.of(arguments.settings), settings, ::read, gateway.log).also { it.start() }
@@ -54,7 +56,7 @@
                 stopped.countDown()
             }.start()
         }
-        stopped.await()
+        guard.awaitStop(stopped)
         exitProcess(0)
     }
 
