--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
@@ -59,7 +59,7 @@
     }
 
     private companion object {
-        /** The limit is a share of requests, but sends are counted, of which retries make more; the rest covers them. */
+        /** The limit is a share of requests, but sends are counted; the rest covers retries. */
         const val USED_SHARE = 0.8
 
         /** The other half of the slack covers the random rounding and requests that are sent when a verdict falls. */
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/SimulatedRollout.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/SimulatedRollout.kt
@@ -20,7 +20,7 @@
  * @property slowness factor on the durations of an answer
  * @property restarted gateways that are killed at 3 s and start again at 5 s
  * @property cutOff gateways that hear no peers and no store from 4 s to 9.5 s
- * @property observers gateways that hear all evidence; the others hear their phase only, which saves time
+ * @property observers gateways that hear all evidence; the others hear only the phases of some, which saves time
  * @property speeds factors on the durations of the engines of both sides
  * @property requestsPerSecond requests of all callers
  */
