--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutStore.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutStore.kt
@@ -8,8 +8,10 @@
     fun read(pool: String)
 
     /**
-     * Writes [record], with the [withdrawn] versions that earlier orders have tested, after a random delay, unless the stored one is of a newer order or at least as final. A failed
+     * Writes [record] after a random delay, unless the stored one is of a newer order or at least as final. A failed
      * write is repeated.
+     *
+     * @param withdrawn versions that earlier orders have tested and that did not complete
      */
     fun save(record: RolloutRecord, withdrawn: Set<String>)
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
@@ -10,7 +10,10 @@
  *
  * @property tracked the rollout of the pool, or null
  */
-internal class RolloutCandidates(private val tracked: TrackedRollout?, private val endpoints: Collection<EndpointState>) {
+internal class RolloutCandidates(
+    private val tracked: TrackedRollout?,
+    private val endpoints: Collection<EndpointState>,
+) {
     private val candidatesByRoute = HashMap<String, List<EndpointState>>()
 
     /** The endpoints that requests of no particular route may use: the capacity that counts. */
