--- a/daemon/src/main/kotlin/org/guavahatch/daemon/settings/GatewaySettingsReader.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/settings/GatewaySettingsReader.kt
@@ -11,7 +11,11 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** Reads the settings of a gateway from a file with [overlay], the value of [SettingsMerge.VARIABLE], merged over it. */
+/**
+ * Reads the settings of a gateway from a file.
+ *
+ * @property overlay value of [SettingsMerge.VARIABLE], which is merged over the file
+ */
 internal class GatewaySettingsReader(private val overlay: String?) {
     private val json = Json { ignoreUnknownKeys = true }
 
--- a/daemon/src/main/kotlin/org/guavahatch/daemon/settings/SettingsMerge.kt
+++ b/daemon/src/main/kotlin/org/guavahatch/daemon/settings/SettingsMerge.kt
@@ -19,7 +19,8 @@
     private val json = Json { allowComments = true }
 
     /**
-     * Merges [overlay], the value of [VARIABLE], over [text], the content of [file]. Null or blank text changes nothing.
+     * Merges [overlay], the value of [VARIABLE], over [text], the content of [file]. A null or blank value changes
+     * nothing.
      *
      * @return the merged settings, or a message that names the source that is not a JSON object
      */
