--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneDemand.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneDemand.kt
@@ -30,17 +30,23 @@
 
     /** Number of gateways other than this one, silent ones included, that have or may have requests in [zone]. */
     fun competing(zone: String, order: Int): Int =
-        waiting.count { it.isIn(zone) && it.isWaiting(order) } + silent(zone)
+        waitingGateways(zone, order) + silent(zone)
 
     /** Number of gateways outside [zone], this one included, that may want its spare slots for [order]. */
     fun competingOutside(zone: String, order: Int): Int =
         waiting.count { !it.isIn(zone) && it.isWaiting(order) } + 1
 
-    /** Whether a gateway of [zone] reports waiting requests of the same or a higher priority than [order]. */
-    fun hasWaiting(zone: String, order: Int): Boolean = order >= highestOrders.getOrPut(zone) {
-        waiting.filter { it.isIn(zone) }.minOfOrNull { checkNotNull(it.waiting).order } ?: Int.MAX_VALUE
+    /**
+     * Whether a gateway of [zone] reports requests of the same or a higher priority than [order] for which its zone has
+     * no slot.
+     */
+    fun lacksSlots(zone: String, order: Int): Boolean = order >= highestOrders.getOrPut(zone) {
+        waiting.filter { it.isIn(zone) && it.lacksSlot }.minOfOrNull { checkNotNull(it.waiting).order } ?: Int.MAX_VALUE
     }
 
+    /** Number of gateways of [zone] that report waiting requests of the same or a higher priority than [order]. */
+    fun waitingGateways(zone: String, order: Int): Int = waiting.count { it.isIn(zone) && it.isWaiting(order) }
+
     /**
      * Number of requests with a higher priority than [order] that need slots of this gateway's zone: those that wait in
      * the zone, and those of other zones that may leave these.
@@ -55,6 +61,8 @@
     private class Gateway(private val zone: String, val waiting: WaitingReport?) {
         fun isIn(other: String) = zone == other || zone.isEmpty() || other.isEmpty()
 
+        val lacksSlot: Boolean get() = waiting != null && waiting.requests > 0
+
         fun isWaiting(order: Int) = waiting != null && waiting.order <= order
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -73,7 +73,7 @@
         demand: ZoneDemand,
         now: Long,
     ): ZoneChoice? {
-        val home = if (mayUseHome(request, slots, demand)) chooser.choose(request, endpoints, now, ::isHome) else null
+        val home = if (mayUseHome(request, slots, demand)) chooseHome(request, endpoints, now) else null
         val reason = reasonToLeave(request, home, endpoints, now)
         val other = reason?.let {
             chooser.choose(request, endpoints, now) { endpoint ->
@@ -86,6 +86,13 @@
         return home?.let { ZoneChoice(request, it, reason = null) }
     }
 
+    /** The endpoint chosen at home, one that meets the objective if there is any. */
+    private fun chooseHome(request: WaitingRequest, endpoints: Collection<EndpointState>, now: Long): EndpointState? {
+        val chosen = chooser.choose(request, endpoints, now, ::isHome) ?: return null
+        if (now >= request.objectiveEndsAt || meetsObjective(request, chosen, now)) return chosen
+        return chooser.choose(request, endpoints, now) { isHome(it) && meetsObjective(request, it, now) } ?: chosen
+    }
+
     private fun mayUseHome(request: WaitingRequest, slots: ZoneSlots, demand: ZoneDemand): Boolean {
         val reserved = reserve.reservedSlots(slots.all(zone), request.order, demand.gateways(zone))
         return demand.waitingBefore(request.order) + reserved < slots.free(zone) + slots.free(NO_ZONE)
@@ -136,10 +143,11 @@
 
     /** Free slots of another [zone] beyond what its own gateways need for requests of [order] and above. */
     private fun spareSlots(zone: String, order: Int, slots: ZoneSlots, demand: ZoneDemand): Int {
-        if (demand.hasWaiting(zone, order)) return 0
+        if (demand.lacksSlots(zone, order)) return 0
         // The own callers of the zone come first at equal priority, too.
         val orderOfOwn = if (order == Int.MAX_VALUE) order else order + 1
-        return slots.free(zone) - reserve.reservedSlots(slots.all(zone), orderOfOwn, demand.gateways(zone))
+        val reserved = reserve.reservedSlots(slots.all(zone), orderOfOwn, demand.gateways(zone))
+        return slots.free(zone) - reserved - demand.waitingGateways(zone, order)
     }
 
     /**
