--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -21,6 +21,7 @@
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SlotShares
+import org.guavahatch.scheduling.memory.MemoryLimitedChooser
 import org.guavahatch.scheduling.quarantine.Quarantine
 import org.guavahatch.scheduling.quarantine.QuarantineReport
 import kotlin.random.Random
@@ -219,7 +220,9 @@
             settings.retries.fixed,
             (settings.retries.windowSeconds * MILLISECONDS_PER_SECOND).toLong(),
         )
-        val chooser = EarliestFirstTokenChooser(random, settings.zone)
+        val chooser = MemoryLimitedChooser(EarliestFirstTokenChooser(random, settings.zone)) {
+            configuration?.poolMemoryTokens?.get(name)
+        }
         val allowance = RetryAllowance(clock, limit)
         val shares = SlotShares(random)
         val pool =
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -15,7 +15,8 @@
  * datagram
  * @property configurationVersion version of the configuration in force at the sender
  * @property configurationAge milliseconds since that version was confirmed as the newest, or -1
- * @property load the sender's requests and their prompt tokens that are not prefilled yet, by endpoint
+ * @property load the sender's requests, their prompt tokens that are not prefilled yet, and the tokens of memory that
+ * they hold, by endpoint; earlier versions leave out the last
  * @property accountUse units admitted since the sender's start, by account, or null if left out
  * @property accountLevels units left, by account, or null if left out
  * @property waiting order of the highest rank that waits, the number of its requests, and, if the sender prefers its
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -118,7 +118,7 @@
         if (includeEchoes) echoes() else null,
         report.configurationVersion,
         state.freshness.ageMilliseconds() ?: -1,
-        report.load.mapValues { (_, load) -> listOf(load.requests.toLong(), load.prefillTokens) },
+        report.load.mapValues { (_, load) -> listOf(load.requests.toLong(), load.prefillTokens, load.tokens) },
         report.accounts?.use,
         report.accounts?.levels,
         report.waiting.mapValues { (_, waiting) -> listOfNotNull(waiting.order, waiting.requests, waiting.leaving) },
@@ -173,7 +173,7 @@
         name = datagram.name,
         incarnation = datagram.incarnation,
         sequence = datagram.sequence,
-        load = datagram.load.mapValues { (_, load) -> EndpointLoad(load[0].toInt(), load[1]) },
+        load = datagram.load.mapValues { (_, load) -> EndpointLoad(load[0].toInt(), load[1], load.getOrElse(2) { load[1] }) },
         configurationVersion = datagram.configurationVersion,
         accounts = accountsOf(datagram),
         waiting = datagram.waiting.mapValues { (_, waiting) ->
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -12,6 +12,7 @@
 import org.guavahatch.gateway.endpoint.EndpointUnreachable
 import org.guavahatch.gateway.endpoint.RetryAfterHeader
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.memory.EngineMemory
 import org.guavahatch.scheduling.zone.OtherZoneReason
 import java.util.concurrent.TimeUnit
 
@@ -31,6 +32,7 @@
     private var isResumed = false
     private var events = 0
     private var isEnded = false
+    private val heldTokens = EngineMemory.tokensOf(plan.waiting)
     private var pendingPrefillTokens = plan.waiting.promptTokens
     private var prefillTokensAtStart = 0L
     private var firstEventAt = 0L
@@ -51,7 +53,7 @@
 
     /** Connects to the endpoint and sends the request. */
     fun start(lastEventId: Long?, isRetry: Boolean) {
-        endpoint.recordSent(pendingPrefillTokens)
+        endpoint.recordSent(pendingPrefillTokens, heldTokens)
         prefillTokensAtStart = endpoint.prefillTokens
         // A late copy of the response to an earlier send has the same request id, so it must not arrive here.
         val excluded = request.usedConnections
@@ -108,6 +110,7 @@
             putTokens(plan)
             if (plan.parts.own != null) put("prompt-parts", plan.parts)
             if (plan.waiting.promptTokens > 0) put("prefill-tokens", endpoint.prefillTokens)
+            if (heldTokens > 0) put("engine-tokens", endpoint.ownTokens + endpoint.peerTokens)
             endpoint.prefillMillisecondsPerToken?.let { put("prefill-pace", it) }
             endpoint.sustainedPaceMilliseconds?.let { put("pace", it) }
             plan.account?.let { put("account", it.name) }
@@ -321,7 +324,7 @@
         isEnded = true
         stallTimer?.cancel(false)
         updateBufferedBytes(0)
-        endpoint.recordEnded(pendingPrefillTokens)
+        endpoint.recordEnded(pendingPrefillTokens, heldTokens)
         resumeReading()
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -193,13 +193,14 @@
             val loads = reports.mapNotNull { it.load[endpoint.listed.id.value] }
             endpoint.peerRequests = loads.sumOf { it.requests }
             endpoint.peerPrefillTokens = loads.sumOf { it.prefillTokens }
+            endpoint.peerTokens = loads.sumOf { it.tokens }
         }
     }
 
     /** Adds this gateway's own load on each endpoint to [load]. */
     fun collectLoad(load: MutableMap<String, EndpointLoad>) {
         endpoints.values.filter { it.ownRequests > 0 }.forEach {
-            load[it.listed.id.value] = EndpointLoad(it.ownRequests, it.ownPrefillTokens)
+            load[it.listed.id.value] = EndpointLoad(it.ownRequests, it.ownPrefillTokens, it.ownTokens)
         }
     }
 
--- a/model/src/main/kotlin/org/guavahatch/model/forwarding/ForwardingConfiguration.kt
+++ b/model/src/main/kotlin/org/guavahatch/model/forwarding/ForwardingConfiguration.kt
@@ -12,12 +12,14 @@
  * @property routes all routes
  * @property limits limits for requests from callers
  * @property accounts client accounts by name; if empty, callers need no keys
+ * @property poolMemoryTokens memory of each engine of a pool in tokens, by pool; no limit for a pool that is absent
  */
 public data class ForwardingConfiguration(
     public val version: Long,
     public val routes: ImmutableList<ForwardingRoute>,
     public val limits: CallerLimits,
     public val accounts: ImmutableMap<String, ForwardingAccount> = persistentMapOf(),
+    public val poolMemoryTokens: ImmutableMap<String, Long> = persistentMapOf(),
 ) {
     private val routesByHost: Map<String, Map<String, ForwardingRoute>> =
         routes.groupBy { it.host.lowercase() }.mapValues { (_, list) -> list.associateBy { it.prefix } }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -16,6 +16,13 @@
     public var ownPrefillTokens: Long = 0
         private set
 
+    /** Tokens of memory that this gateway's requests hold at the endpoint, expected output included. */
+    public var ownTokens: Long = 0
+        private set
+
+    /** Tokens of memory that other gateways' requests hold at the endpoint, from their last reports. */
+    public var peerTokens: Long = 0
+
     /** Requests of other gateways at the endpoint, from their last reports. */
     public var peerRequests: Int = 0
 
@@ -104,9 +111,10 @@
     /** Moving average of the share of failed requests, 0 to 1. */
     public val recentFailureRate: Double get() = failureRate.value ?: 0.0
 
-    /** Records that a request with [promptTokens] is sent. */
-    public fun recordSent(promptTokens: Long) {
+    /** Records that a request with [promptTokens] is sent, which holds [heldTokens] of memory until it ends. */
+    public fun recordSent(promptTokens: Long, heldTokens: Long = 0) {
         ownRequests++
+        ownTokens += heldTokens
         ownPrefillTokens += promptTokens
     }
 
@@ -115,9 +123,13 @@
         ownPrefillTokens -= promptTokens
     }
 
-    /** Records that a request left the endpoint with [unprefilledTokens] of its prompt not prefilled. */
-    public fun recordEnded(unprefilledTokens: Long) {
+    /**
+     * Records that a request that held [heldTokens] of memory left the endpoint with [unprefilledTokens] of its prompt
+     * not prefilled.
+     */
+    public fun recordEnded(unprefilledTokens: Long, heldTokens: Long = 0) {
         ownRequests--
+        ownTokens -= heldTokens
         ownPrefillTokens -= unprefilledTokens
     }
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -151,5 +151,11 @@
  *
  * @property requests number of requests
  * @property prefillTokens prompt tokens of these requests that are not prefilled yet
+ * @property tokens tokens of memory that these requests hold, expected output included; at least [prefillTokens], which
+ * is assumed for a gateway of an older release
  */
-public data class EndpointLoad(public val requests: Int, public val prefillTokens: Long)
+public data class EndpointLoad(
+    public val requests: Int,
+    public val prefillTokens: Long,
+    public val tokens: Long = prefillTokens,
+)
