--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -12,6 +12,7 @@
 import org.guavahatch.gateway.endpoint.EndpointUnreachable
 import org.guavahatch.gateway.endpoint.RetryAfterHeader
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.memory.EngineMemory
 import org.guavahatch.scheduling.zone.OtherZoneReason
 import java.util.concurrent.TimeUnit
 
@@ -32,6 +33,7 @@
     private var isResumed = false
     private var events = 0
     private var isEnded = false
+    private val heldTokens = EngineMemory.tokensOf(plan.waiting)
     private var pendingPrefillTokens = plan.waiting.promptTokens
     private var prefillTokensAtStart = 0L
     private var firstEventAt = 0L
@@ -52,7 +54,7 @@
 
     /** Connects to the endpoint and sends the request. */
     fun start(lastEventId: Long?, isRetry: Boolean) {
-        endpoint.recordSent(pendingPrefillTokens)
+        endpoint.recordSent(pendingPrefillTokens, heldTokens)
         observation.begin()
         prefillTokensAtStart = endpoint.prefillTokens
         // A late copy of the response to an earlier send has the same request id, so it must not arrive here.
@@ -112,6 +114,7 @@
             putTokens(plan)
             if (plan.parts.own != null) put("prompt-parts", plan.parts)
             if (plan.waiting.promptTokens > 0) put("prefill-tokens", endpoint.prefillTokens)
+            if (heldTokens > 0) put("engine-tokens", endpoint.ownTokens + endpoint.peerTokens)
             endpoint.prefillMillisecondsPerToken?.let { put("prefill-pace", it) }
             endpoint.sustainedPaceMilliseconds?.let { put("pace", it) }
             plan.account?.let { put("account", it.name) }
@@ -338,7 +341,7 @@
         isEnded = true
         stallTimer?.cancel(false)
         updateBufferedBytes(0)
-        endpoint.recordEnded(pendingPrefillTokens)
+        endpoint.recordEnded(pendingPrefillTokens, heldTokens)
         observation.ignore()
         resumeReading()
     }
