--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -17,6 +17,7 @@
  * @property stop time limit of a planned stop
  * @property endpoints limits for endpoints and their responses
  * @property requests limits of the requests that one gateway holds
+ * @property accounts how full pools are divided between client accounts
  */
 @Serializable
 data class GatewaySettings(
@@ -32,6 +33,7 @@
     val stop: StopSettings,
     val endpoints: EndpointSettings,
     val requests: RequestSettings = RequestSettings(),
+    val accounts: AccountSettings = AccountSettings(),
 )
 
 /**
@@ -100,3 +102,12 @@
  */
 @Serializable
 data class RequestSettings(val maximumWaiting: Int = 2_000, val maximumBodyBytes: Long = 48L * 1024 * 1024)
+
+/**
+ * How full pools are divided between client accounts, and when rejected callers return.
+ *
+ * @property fairShares whether a client account's share of a full pool is bounded while other accounts wait
+ * @property plannedReturns whether `Retry-After` spreads rejected callers over the time at which capacity is expected
+ */
+@Serializable
+data class AccountSettings(val fairShares: Boolean = false, val plannedReturns: Boolean = false)
