--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -42,7 +42,7 @@
     private val metrics = GatewayMetrics()
 
     /** Log of decisions. */
-    val log: DecisionLog = DecisionLog(settings.name)
+    val log: DecisionLog = DecisionLog(settings.name, settings.zone)
 
     private val connector =
         EndpointConnector(group, clock, headers.requestId, settings.endpoints.maximumAnswerBytes, ::noteUnexpectedBytes)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -19,7 +19,10 @@
 import org.guavahatch.gateway.request.GatewayResponses
 import org.guavahatch.gateway.request.PoolDispatcher
 import org.guavahatch.gateway.request.RequestContext
+import org.guavahatch.gateway.request.RequestOrigin
 import org.guavahatch.gateway.request.RequestPlan
+import org.guavahatch.gateway.request.origin
+import org.guavahatch.gateway.request.putOrigin
 import org.guavahatch.gateway.request.putTokens
 import org.guavahatch.gateway.settings.RequestSettings
 import org.guavahatch.model.forwarding.CallerLimits
@@ -105,6 +108,7 @@
     private fun start(plan: RequestPlan, responder: CallerResponder): CallerRequestListener {
         val size = plan.request.body.readableBytes().toLong()
         bufferedBodies.add(size)
+        plan.origin.counters(context.metrics).countAsked()
         val pool = state.pool(plan.pool)
         val activeRequest = ActiveRequest(plan, responder, pool, context) { bufferedBodies.add(-size) }
         pool.submit(activeRequest)
@@ -114,6 +118,11 @@
     private fun refuse(request: CallerRequest, responder: CallerResponder, refusal: Refusal) {
         request.body.release()
         context.metrics.countEnded(refusal.reason)
+        val origin = originOf(request)
+        origin.counters(context.metrics).apply {
+            countAsked()
+            countRefused()
+        }
         context.log.write("request.refused") {
             put("request", request.headers.get(headers.requestId).orEmpty())
             put("status", refusal.status.code())
@@ -122,6 +131,8 @@
             put("configuration", state.configuration?.version ?: 0)
             put("age", state.freshness.ageMilliseconds() ?: -1)
             refusal.retryAfterMilliseconds?.let { put("retry-after", it) }
+            origin.route?.let { put("route", it.name) }
+            putOrigin(origin, context.log.zone)
         }
         responder.respond(
             refusal.status.code(),
@@ -130,6 +141,17 @@
         )
     }
 
+    /** What a request that was not planned is attributed to, as far as the configuration tells. */
+    private fun originOf(request: CallerRequest): RequestOrigin {
+        val configuration = state.configuration ?: return RequestOrigin(account = null, route = null)
+        val route = findRoute(configuration, request)
+        val key = request.headers.get(headers.key).takeIf { route?.allowsAnonymousCallers != true }
+        return RequestOrigin(key?.let(configuration::findAccount), route)
+    }
+
+    private fun findRoute(configuration: ForwardingConfiguration, request: CallerRequest): ForwardingRoute? =
+        configuration.findRoute(request.headers.get(HttpHeaderNames.HOST).orEmpty(), request.target)
+
     private fun planRequest(request: CallerRequest): Either<Refusal, RequestPlan> = either {
         ensure(!isStopOver()) { Refusal.unavailable(ActiveRequest.STOPPING) }
         val configuration = ensureNotNull(state.configuration) { Refusal.unavailable("no-configuration") }
@@ -164,8 +186,7 @@
         configuration: ForwardingConfiguration,
         request: CallerRequest,
     ): Either<Refusal, ForwardingRoute> {
-        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty()
-        val route = configuration.findRoute(host, request.target)
+        val route = findRoute(configuration, request)
         return route?.right() ?: finalRefusal(Refusal(HttpResponseStatus.NOT_FOUND, "no-route")).left()
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/DecisionLog.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/DecisionLog.kt
@@ -11,8 +11,10 @@
  *
  * The calling thread never waits for output: lines pass through a bounded queue to a writer thread. Lines that do not
  * fit are dropped, and a later line reports their number.
+ *
+ * @property zone availability zone of the gateway
  */
-class DecisionLog(private val instance: String) {
+class DecisionLog(private val instance: String, val zone: String) {
     private val lines = ArrayBlockingQueue<String>(QUEUE_CAPACITY)
     private val dropped = AtomicLong()
     private val pendingLines = AtomicInteger()
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -18,6 +18,9 @@
     private val unexpectedBytes = HashMap<UnexpectedBytes.Place, Counter>()
     private val timers = HashMap<String, Timer>()
 
+    /** Counters by client account and route. */
+    val accounts: AccountMetrics = AccountMetrics(registry)
+
     /** Returns the current values in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -76,7 +76,10 @@
     internal val usedConnections: Set<Long> get() = history.usedConnections
 
     /** Counts a send on the connection numbered [connection] and returns the number of the send. */
-    internal fun onSent(connection: Long): Int = history.recordSent(connection)
+    internal fun onSent(connection: Long): Int {
+        completion.noteSent()
+        return history.recordSent(connection)
+    }
 
     /** The endpoint reported that it has not run the request. */
     internal fun onRejected(endpoint: EndpointState, status: HttpResponseStatus) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestCompletion.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestCompletion.kt
@@ -15,6 +15,8 @@
     private val history: SendHistory,
     private val onEnd: () -> Unit,
 ) {
+    private val counters = plan.origin.counters(context.metrics)
+    private var firstSentAt: Long? = null
     private var firstEventAt = 0L
     private var lastEventAt = 0L
     private var longestPause = 0L
@@ -28,10 +30,20 @@
     fun beginResponse(response: HttpResponse) {
         if (!history.recordBegun()) return
         firstEventAt = context.clock.monotonicMilliseconds()
+        countIfLate(firstEventAt)
         context.metrics.recordDuration("first-event", plan.waiting.rank, firstEventAt - plan.waiting.arrivedAt)
         responder.begin(response.status().code(), context.messages.responseHeaders(response.headers()))
     }
 
+    /** Records that the request is sent to an endpoint now. */
+    fun noteSent() {
+        if (firstSentAt == null) firstSentAt = context.clock.monotonicMilliseconds()
+    }
+
+    private fun countIfLate(at: Long) {
+        if (at > plan.waiting.objectiveEndsAt) counters.countLate()
+    }
+
     /** Records that an event is sent to the caller now. */
     fun noteEvent() {
         val now = context.clock.monotonicMilliseconds()
@@ -44,13 +56,14 @@
     fun respond(response: HttpResponse, body: ByteBuf) {
         val status = response.status().code()
         val isFailure = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
-        complete(if (isFailure) "failed-by-endpoint" else "answered") {
+        if (!isFailure) countIfLate(context.clock.monotonicMilliseconds())
+        complete(if (isFailure) "failed-by-endpoint" else ANSWERED) {
             responder.respond(status, context.messages.responseHeaders(response.headers()), body)
         }
     }
 
     /** Ends a stream that is complete. */
-    fun completeStream() = complete("answered") { responder.end() }
+    fun completeStream() = complete(ANSWERED) { responder.end() }
 
     /** Ends a response that has begun and cannot be completed. */
     fun abort(reason: String) = complete("broken-off: $reason") { responder.abort() }
@@ -59,6 +72,7 @@
     fun notRun(reason: String, retryAfterMilliseconds: Long) {
         if (isCompleted) return
         plan.account?.let { context.ledger.credit(it.name, plan.units) }
+        counters.countRefused()
         fail(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfterMilliseconds)
     }
 
@@ -82,6 +96,8 @@
 
     private fun record(outcome: String, status: Int?) {
         val duration = context.clock.monotonicMilliseconds() - plan.waiting.arrivedAt
+        if (outcome == ANSWERED) counters.countAnswered()
+        counters.addWaited(firstSentAt?.let { it - plan.waiting.arrivedAt } ?: duration)
         context.metrics.countEnded(outcome.substringBefore(':'))
         context.metrics.recordDuration("total", plan.waiting.rank, duration)
         context.log.write("request.ended", plan) {
@@ -96,8 +112,11 @@
             }
             putTokens(plan)
             put("possible-runs", history.possibleRuns)
-            put("rank", plan.waiting.rank)
-            put("route-rank", plan.waiting.routeRank)
+            putOrigin(plan.origin, context.log.zone)
         }
     }
+
+    private companion object {
+        const val ANSWERED = "answered"
+    }
 }
