--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -29,6 +29,7 @@
 import org.guavahatch.model.forwarding.ForwardingAccount
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ForwardingRoute
+import org.guavahatch.scheduling.direct.AccountShares
 import org.guavahatch.scheduling.direct.RepeatedRequests
 import org.guavahatch.scheduling.direct.WaitingRequest
 import org.guavahatch.scheduling.quarantine.PromptParts
@@ -177,7 +178,7 @@
             account,
             units,
             parts,
-            waitingRequest(request, route, state.pool(pool), account, tokens),
+            waitingRequest(request, route, state.pool(pool), account, tokens).charged(account, units),
             configuration.version,
         )
     }
@@ -258,6 +259,9 @@
         )
     }
 
+    private fun WaitingRequest.charged(account: ForwardingAccount?, units: Long) =
+        copy(account = account?.name ?: AccountShares.NO_ACCOUNT, units = units)
+
     /** Time without an event after which callers of streams disconnect; other callers wait until their deadline. */
     private fun patienceMilliseconds(route: ForwardingRoute): Long = if (!route.isStream) {
         Long.MAX_VALUE / 2
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -11,6 +11,7 @@
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountLedger
 import org.guavahatch.scheduling.direct.AccountReport
+import org.guavahatch.scheduling.direct.AccountShares
 import org.guavahatch.scheduling.direct.ConfigurationFreshness
 import org.guavahatch.scheduling.direct.EarliestFirstTokenChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
@@ -52,6 +53,9 @@
     val ledger: AccountLedger =
         AccountLedger(clock, QuotaTolerance(settings.quota.overage, settings.quota.slackTokens))
 
+    /** Recent use of client accounts, or null without fair shares. */
+    private val shares: AccountShares? = if (settings.accounts.fairShares) AccountShares(clock) else null
+
     /** Age of the configuration in force. */
     val freshness: ConfigurationFreshness = ConfigurationFreshness(
         clock,
@@ -122,6 +126,7 @@
         configuration = newer
         document = newDocument
         ledger.prepare(newer.accounts.values)
+        shares?.configure(newer.accounts.values)
         log.write("configuration.applied") {
             put("version", newer.version)
             put("previous", previous?.version ?: 0)
@@ -158,6 +163,7 @@
     override fun onGatewaysChanged(peers: Map<String, String>) {
         gateways = peers - settings.name
         this.peers.setMembers(gateways.keys)
+        shares?.retainPeers(gateways.keys)
         log.write("gateways.listed") { put("names", gateways.keys.sorted().joinToString(" ")) }
     }
 
@@ -181,6 +187,7 @@
         val used = peers.processReport(report) ?: return
         val levels = report.accounts?.levels
         if (isFirst && levels != null && isRecentlyStarted) ledger.raiseLevels(levels)
+        shares?.recordPeerUse(report.name, used)
         used.forEach { (account, units) -> ledger.recordPeerUse(account, units) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
         pools.values.forEach { it.onPeerReports() }
@@ -191,9 +198,12 @@
 
     /** The next report to the peers, with the use of accounts as [detail] says. */
     fun report(detail: ReportDetail): PeerReport {
-        val use = ledger.ownUse
+        val use = ledger.ownUse + shares?.useWithoutQuota.orEmpty()
         val changedUse = use.filter { (account, units) -> units != completelyReportedUse[account] }
-        if (detail == ReportDetail.COMPLETE) completelyReportedUse = use
+        if (detail == ReportDetail.COMPLETE) {
+            completelyReportedUse = use
+            logShares()
+        }
         val load = HashMap<String, EndpointLoad>()
         pools.values.forEach { it.collectLoad(load) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
@@ -210,6 +220,18 @@
         )
     }
 
+    private fun logShares() {
+        val waiting = pools.values.sumOf { it.waitingRequests }
+        val uses = shares?.highestUses(LOGGED_ACCOUNTS) ?: return
+        if (waiting == 0) return
+        log.write("accounts.shares") {
+            put("waiting", waiting)
+            put("highest-uses", uses.joinToString(" ") { (account, use) -> "$account=$use" })
+            put("gateways-heard", peers.freshReports().size + 1)
+            put("gateways", peers.gatewayCount)
+        }
+    }
+
     private fun newPool(name: String): PoolDispatcher {
         val limit = RetryLimit(
             settings.retries.perRequest,
@@ -218,7 +240,18 @@
         )
         val chooser = EarliestFirstTokenChooser(random, settings.zone)
         val allowance = RetryAllowance(clock, limit)
-        val pool = PoolDispatcher(name, loop, clock, chooser, SlotShares(random), allowance, peers, connector, stop)
+        val pool = PoolDispatcher(
+            name,
+            loop,
+            clock,
+            chooser,
+            SlotShares(random),
+            allowance,
+            peers,
+            connector,
+            stop,
+            shares,
+        )
         pool.onChange = { listeners.forEach { it() } }
         return pool
     }
@@ -242,6 +275,7 @@
 
         /** Number of own reports after a start during which the account levels of a peer are the more current ones. */
         const val LEVEL_ADOPTION_REPORTS = 50L
+        const val LOGGED_ACCOUNTS = 5
         const val MILLISECONDS_PER_SECOND = 1_000.0
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -18,7 +18,8 @@
  * @property load the sender's requests and their prompt tokens that are not prefilled yet, by endpoint
  * @property accountUse units admitted since the sender's start, by account, or null if left out
  * @property accountLevels units left, by account, or null if left out
- * @property waiting order of the highest rank that waits, and the number of its requests, by pool
+ * @property waiting order of the highest rank that waits, and the number of its requests, by pool; with fair shares
+ * followed by the lowest weighted use of their accounts and the number of requests of these accounts
  * @property wantsEcho whether the sender needs echoes to confirm its configuration; senders of earlier versions, which
  * leave it out, always do
  * @property changedUse [accountUse] of the accounts that have changed since the last datagram with [accountUse]
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -20,6 +20,7 @@
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
+import org.guavahatch.scheduling.direct.LowestUse
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.quarantine.CrashReport
@@ -121,7 +122,9 @@
         report.load.mapValues { (_, load) -> listOf(load.requests.toLong(), load.prefillTokens) },
         report.accounts?.use,
         report.accounts?.levels,
-        report.waiting.mapValues { (_, waiting) -> listOf(waiting.order, waiting.requests) },
+        report.waiting.mapValues { (_, waiting) ->
+            listOfNotNull(waiting.order, waiting.requests, waiting.lowestUse?.use, waiting.lowestUse?.requests)
+        },
         state.freshness.needsConfirmation(),
         report.changedUse,
         report.quarantine.crashes.map { crash ->
@@ -175,7 +178,10 @@
         load = datagram.load.mapValues { (_, load) -> EndpointLoad(load[0].toInt(), load[1]) },
         configurationVersion = datagram.configurationVersion,
         accounts = accountsOf(datagram),
-        waiting = datagram.waiting.mapValues { (_, waiting) -> WaitingReport(waiting[0], waiting[1]) },
+        waiting = datagram.waiting.mapValues { (_, waiting) ->
+            val lowestUse = waiting.getOrNull(2)?.let { use -> waiting.getOrNull(3)?.let { LowestUse(use, it) } }
+            WaitingReport(waiting[0], waiting[1], lowestUse)
+        },
         changedUse = datagram.changedUse,
         quarantine = quarantineOf(datagram),
     )
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -5,10 +5,12 @@
 import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
+import org.guavahatch.scheduling.direct.AccountShares
 import org.guavahatch.scheduling.direct.CompletionForecast
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.FairWaitingQueue
 import org.guavahatch.scheduling.direct.FirstEventForecast
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
@@ -16,6 +18,7 @@
 import org.guavahatch.scheduling.direct.QueueForecast
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.SlotShares
+import org.guavahatch.scheduling.direct.TokenCost
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
@@ -32,8 +35,10 @@
     private val peers: PeerTable,
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
+    private val accounts: AccountShares? = null,
 ) {
-    private val queue = WaitingQueue()
+    private val cost = TokenCost()
+    private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
     private val forecast = QueueForecast()
     private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
@@ -43,6 +48,7 @@
     private var isDispatching = false
     private var isRecheckScheduled = false
     private var reportsAppliedAt = 0L
+    private var costMeasuredAt = 0L
     private var slotsDividedAt = 0L
     private var slotsDividedFor = Int.MAX_VALUE
 
@@ -60,7 +66,7 @@
      * is 0 while slots are free, as the requests then wait for an engine that can prefill them.
      */
     val highestRankWaiting: WaitingReport?
-        get() = queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
+        get() = queue.highestPriority?.let { if (freeSlots > 0) it.withoutRequests() else it }
 
     /** Number of submitted requests that have not ended. */
     val openRequests: Int get() = open.size
@@ -147,7 +153,10 @@
         slotsDividedFor = queue.highestPriority?.order ?: Int.MAX_VALUE
     }
 
-    private fun competingGateways() = peers.gatewaysWithWaiting(name, queue.highestPriority?.order ?: Int.MAX_VALUE)
+    private fun competingGateways(): Int {
+        val waiting = queue.highestPriority
+        return peers.gatewaysWithWaiting(name, waiting?.order ?: Int.MAX_VALUE, waiting?.lowestUse?.use)
+    }
 
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
@@ -161,6 +170,7 @@
         val now = clock.monotonicMilliseconds()
         if (now - reportsAppliedAt >= RECHECK_MILLISECONDS) {
             applyReports()
+            measureCost(now)
             reportsAppliedAt = now
         }
         if (now - slotsDividedAt >= peers.reportIntervalMilliseconds) {
@@ -169,6 +179,12 @@
         dispatchWaiting()
     }
 
+    private fun measureCost(now: Long) {
+        if (accounts == null || now - costMeasuredAt < COST_INTERVAL_MILLISECONDS) return
+        cost.measure(endpoints.values)
+        costMeasuredAt = now
+    }
+
     private fun applyReports() {
         val reports = peers.freshReports()
         endpoints.values.forEach { endpoint ->
@@ -203,7 +219,7 @@
         if (queue.size == 0 || free == 0) return false
         val (request, endpoint) = queue.candidates(now)
             .filter { activeRequests[it.sequence]?.let { active -> maySend(active, now) } == true }
-            .takeWhile { reserve.mayUse(free, slots, it.order) }
+            .takeWhile { reserve.mayUse(free, slots, it.order, queue.useOf(it)) }
             .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
             ?: return false
         send(request, endpoint, now)
@@ -222,6 +238,10 @@
 
     private fun send(request: WaitingRequest, endpoint: EndpointState, now: Long) {
         queue.remove(request)
+        // The use of an interrupted stream was counted when it was first sent.
+        if (!request.hasAnswerBegun) {
+            accounts?.recordSent(request.account, cost.of(request, request.units), request.units)
+        }
         forecast.recordDispatch(now, hasMoreWaiting = queue.size > 0)
         activeRequests.remove(request.sequence)?.dispatch(endpoint)
     }
@@ -282,6 +302,9 @@
 
     private companion object {
         const val RECHECK_MILLISECONDS = 20L
+
+        /** The measured speeds of endpoints are averages over seconds. */
+        const val COST_INTERVAL_MILLISECONDS = 1_000L
         const val SPARE_CAPACITY_DIVISOR = 4
         const val RETRY_AFTER_DIVISOR = 3
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -57,14 +57,28 @@
     /**
      * Number of gateways, including this one and the silent ones, that have or may have waiting requests for
      * [pool] with the same or a higher priority than [order].
+     *
+     * @param use [LowestUse.use] of this gateway, or null; gateways where only accounts of higher use wait with the
+     * same priority are left out
      */
-    public fun gatewaysWithWaiting(pool: String, order: Int): Int =
-        freshReports().count { peer -> peer.waiting[pool]?.let { it.order <= order } == true } + silentCount + 1
+    public fun gatewaysWithWaiting(pool: String, order: Int, use: Int? = null): Int = freshReports().count { peer ->
+        val waiting = peer.waiting[pool]
+        waiting != null && (waiting.order < order || waiting.order == order && !waiting.isAfter(use))
+    } + silentCount + 1
 
     /** Number of requests for [pool] that wait in other gateways with a higher priority than [order]. */
     public fun waitingWithHigherPriority(pool: String, order: Int): Int =
         freshReports().sumOf { peer -> peer.waiting[pool]?.takeIf { it.order < order }?.requests ?: 0 }
 
+    /** Number of requests for [pool] of [order] and of accounts of lower use than [use] that wait in other gateways. */
+    public fun waitingWithLowerUse(pool: String, order: Int, use: Int): Int = freshReports().sumOf { peer ->
+        peer.waiting[pool]?.takeIf { it.order == order }?.lowestUse?.takeIf { it.use < use }?.requests ?: 0
+    }
+
+    /** Whether all accounts that wait have a clearly higher weighted use than [use]. */
+    private fun WaitingReport.isAfter(use: Int?): Boolean =
+        use != null && lowestUse != null && lowestUse.use > use * LowestUse.TOLERANCE
+
     /** Milliseconds between two reports of a gateway while its load changes; grows with the number of peers. */
     public val reportIntervalMilliseconds: Long
         get() = maxOf(MINIMUM_REPORT_INTERVAL_MILLISECONDS, (gatewayCount - 1) * REPORT_INTERVAL_PER_PEER_MILLISECONDS)
@@ -131,8 +145,29 @@
  *
  * @property order [WaitingRequest.order] of the requests; lower values have priority
  * @property requests number of requests that wait for a free slot
+ * @property lowestUse those of the accounts with the lowest weighted use, or null without fair shares
  */
-public data class WaitingReport(public val order: Int, public val requests: Int)
+public data class WaitingReport(
+    public val order: Int,
+    public val requests: Int,
+    public val lowestUse: LowestUse? = null,
+) {
+    /** This report for requests that wait although slots are free, so that no slot is to be left to them. */
+    public fun withoutRequests(): WaitingReport = copy(requests = 0, lowestUse = lowestUse?.copy(requests = 0))
+}
+
+/**
+ * Waiting requests of the accounts of one gateway that are next by [AccountShares].
+ *
+ * @property use bound of the weighted use of these accounts: the lowest one times [TOLERANCE]
+ * @property requests number of their requests that wait for a free slot
+ */
+public data class LowestUse(public val use: Int, public val requests: Int) {
+    public companion object {
+        /** Uses within this factor count as equal; the use of an account with steady load varies by a tenth. */
+        public const val TOLERANCE: Double = 1.25
+    }
+}
 
 /**
  * Requests of one gateway at one endpoint.
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PriorityReserve.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PriorityReserve.kt
@@ -18,9 +18,19 @@
     /** Records the arrival of a request with [order] at this gateway. */
     public fun recordArrival(order: Int): Unit = arrivals.record(order)
 
-    /** Whether a request with [order] may use one of [freeSlots] free slots of a pool that has [slots]. */
-    public fun mayUse(freeSlots: Int, slots: Int, order: Int): Boolean =
-        peers.waitingWithHigherPriority(pool, order) + reservedSlots(slots, order) < freeSlots
+    /**
+     * Whether a request with [order], of an account with the weighted [use] if that is known, may use one of
+     * [freeSlots] free slots of a pool that has [slots].
+     */
+    public fun mayUse(freeSlots: Int, slots: Int, order: Int, use: Int? = null): Boolean =
+        peers.waitingWithHigherPriority(pool, order) + reservedSlots(slots, order) +
+            slotsForLowerUse(slots, order, use) < freeSlots
+
+    private fun slotsForLowerUse(slots: Int, order: Int, use: Int?): Int {
+        if (use == null) return 0
+        val most = (slots + MAXIMUM_LOWER_USE_DIVISOR - 1) / MAXIMUM_LOWER_USE_DIVISOR
+        return minOf(peers.waitingWithLowerUse(pool, order, use), most)
+    }
 
     private fun reservedSlots(slots: Int, order: Int): Int {
         val expected = arrivals.expectedBefore(order, peers.reportIntervalMilliseconds) * peers.gatewayCount
@@ -30,5 +40,11 @@
     private companion object {
         /** At most this part of the slots is kept free, so that a pool is used well whatever the load. */
         const val MAXIMUM_RESERVED_DIVISOR = 8
+
+        /**
+         * At most this part of the slots is left to accounts of lower use in other gateways, as the reports of their
+         * requests may be old. With reports 1 s late an unbounded number left 7% of the slots idle.
+         */
+        const val MAXIMUM_LOWER_USE_DIVISOR = 32
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
@@ -11,7 +11,7 @@
  * ones. So when all endpoints are full, less urgent requests wait, and a queue longer than the objective does not make
  * every request late.
  */
-public class WaitingQueue {
+public class WaitingQueue : RequestQueue {
     private val requests = TreeSet(
         compareBy<WaitingRequest>(
             { it.rank },
@@ -24,12 +24,10 @@
 
     private val sizesByOrder = TreeMap<Int, Int>()
 
-    /** The highest priority among the waiting requests and the number of its requests, or null if none waits. */
-    public val highestPriority: WaitingReport?
+    override val highestPriority: WaitingReport?
         get() = sizesByOrder.firstEntry()?.let { WaitingReport(it.key, it.value) }
 
-    /** Number of waiting requests. */
-    public val size: Int get() = requests.size
+    override val size: Int get() = requests.size
 
     /** The request to dispatch next at [now], or null if none waits. */
     public fun next(now: Long): WaitingRequest? {
@@ -39,8 +37,7 @@
         return onTime?.takeIf { hasSameRank(it, oldest) } ?: oldest
     }
 
-    /** The first few requests of each rank, in the order of dispatch at [now]. */
-    public fun candidates(now: Long): List<WaitingRequest> = buildList {
+    override fun candidates(now: Long): List<WaitingRequest> = buildList {
         var head = requests.firstOrNull()
         while (head != null) {
             addAll(firstOfRank(head, now))
@@ -58,21 +55,20 @@
         return inOrder.take(RANK_CANDIDATES).toList()
     }
 
-    /** All waiting requests, in the order of dispatch at [now]. */
-    public fun inDispatchOrder(now: Long): List<WaitingRequest> = requests.groupBy { it.rank to it.routeRank }.values
+    override fun inDispatchOrder(now: Long): List<WaitingRequest> = requests.groupBy { it.rank to it.routeRank }.values
         .flatMap { group ->
             group.partition { it.hasAnswerBegun || it.latestSendAt >= now }
                 .toList()
                 .flatten()
         }
 
-    /** Adds [request]; has no effect if it is already waiting. */
-    public fun add(request: WaitingRequest) {
+    override fun useOf(request: WaitingRequest): Int? = null
+
+    override fun add(request: WaitingRequest) {
         if (requests.add(request)) sizesByOrder.merge(request.order, 1, Int::plus)
     }
 
-    /** Removes [request]; returns false if it was not waiting. */
-    public fun remove(request: WaitingRequest): Boolean {
+    override fun remove(request: WaitingRequest): Boolean {
         if (!requests.remove(request)) return false
         sizesByOrder.computeIfPresent(request.order) { _, size -> (size - 1).takeIf { it > 0 } }
         return true
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -17,6 +17,8 @@
  * @property estimatedTokens the caller's estimate of the tokens to generate, or null
  * @property longestPauseMilliseconds longest pause between events that meets the objective in milliseconds, or null
  * @property firstEventMilliseconds expected time from the send to the first event
+ * @property account name of the client account, or [AccountShares.NO_ACCOUNT]
+ * @property units units that the quota of the account charges
  */
 public data class WaitingRequest(
     public val sequence: Long,
@@ -31,6 +33,8 @@
     public val estimatedTokens: Long? = null,
     public val longestPauseMilliseconds: Long? = null,
     public val firstEventMilliseconds: Long = 0,
+    public val account: String = AccountShares.NO_ACCOUNT,
+    public val units: Long = 0,
 ) {
     /** Latest time of the send that meets the latency objective. */
     public val latestSendAt: Long get() = objectiveEndsAt - firstEventMilliseconds
