--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -18,6 +18,7 @@
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
+import org.guavahatch.scheduling.direct.PoolReturns
 import org.guavahatch.scheduling.direct.QuotaTolerance
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
@@ -190,6 +191,9 @@
         shares?.recordPeerUse(report.name, used)
         used.forEach { (account, units) -> ledger.recordPeerUse(account, units) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
+        report.returns?.let { returns ->
+            pools.values.forEach { it.recordPeerReturns(report.name, returns[it.name].orEmpty()) }
+        }
         pools.values.forEach { it.onPeerReports() }
     }
 
@@ -203,6 +207,7 @@
         if (detail == ReportDetail.COMPLETE) {
             completelyReportedUse = use
             logShares()
+            logReturns()
         }
         val load = HashMap<String, EndpointLoad>()
         pools.values.forEach { it.collectLoad(load) }
@@ -216,6 +221,7 @@
             accounts = if (detail == ReportDetail.COMPLETE) AccountReport(ledger.levels, use) else null,
             waiting = pools.values.mapNotNull { pool -> pool.highestRankWaiting?.let { pool.name to it } }.toMap(),
             changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
+            returns = if (detail == ReportDetail.LOAD) null else plannedReturns(),
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
         )
     }
@@ -232,6 +238,26 @@
         }
     }
 
+    private fun plannedReturns(): Map<String, Map<Int, List<Int>>>? {
+        if (!settings.accounts.plannedReturns) return null
+        return pools.values.associate { it.name to it.plannedReturns.orEmpty() }.filterValues { it.isNotEmpty() }
+    }
+
+    private fun logReturns() = plannedReturns().orEmpty().forEach { (pool, returns) ->
+        log.write("returns.planned") {
+            put("pool", pool)
+            put(
+                "returns",
+                returns.entries.joinToString("; ") { (order, counts) ->
+                    "$order: ${counts.joinToString(" ")}"
+                },
+            )
+            put("waiting", pool(pool).waitingRequests)
+            put("gateways-heard", peers.freshReports().size + 1)
+            put("gateways", peers.gatewayCount)
+        }
+    }
+
     private fun newPool(name: String): PoolDispatcher {
         val limit = RetryLimit(
             settings.retries.perRequest,
@@ -251,6 +277,7 @@
             connector,
             stop,
             shares,
+            if (settings.accounts.plannedReturns) PoolReturns(clock, random) else null,
         )
         pool.onChange = { listeners.forEach { it() } }
         return pool
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -26,6 +26,8 @@
  * @property crashes ends of endpoints that the sender has observed
  * @property answeredParts milliseconds since the latest answer to a request with a suspected prompt part, by part
  * @property quarantines milliseconds for which requests are still held back, by their prompt parts
+ * @property returns number of rejected callers that the sender expects back, by pool, order and bucket of 250 ms from
+ * that of the send; null if left out
  */
 @Serializable
 internal class PeerDatagram(
@@ -44,6 +46,7 @@
     @CborLabel(13) val crashes: List<ObservedCrash> = emptyList(),
     @CborLabel(14) val answeredParts: Map<String, Long> = emptyMap(),
     @CborLabel(15) val quarantines: Map<String, Long> = emptyMap(),
+    @CborLabel(17) val returns: Map<String, Map<Int, List<Int>>>? = null,
 )
 
 /**
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -132,6 +132,7 @@
         },
         report.quarantine.answerAges,
         report.quarantine.remaining.mapKeys { (quarantine, _) -> quarantine.toString() },
+        returns = report.returns,
     )
 
     private fun read(packet: DatagramPacket) {
@@ -184,6 +185,7 @@
         },
         changedUse = datagram.changedUse,
         quarantine = quarantineOf(datagram),
+        returns = datagram.returns,
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -239,7 +239,8 @@
 
     /** The caller is about to disconnect, as it has received no part of the response. */
     private fun onPatienceExpired() {
-        if (attempt == null && history.isNotRun) completion.notRun("overload", RETRY_AFTER_MILLISECONDS)
+        if (attempt != null || !history.isNotRun) return
+        completion.notRun("overload", dispatcher.planReturn(plan.waiting) ?: RETRY_AFTER_MILLISECONDS)
     }
 
     private fun onDeadline() {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -14,6 +14,7 @@
 import org.guavahatch.scheduling.direct.FirstEventForecast
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
+import org.guavahatch.scheduling.direct.PoolReturns
 import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.QueueForecast
 import org.guavahatch.scheduling.direct.RetryAllowance
@@ -36,6 +37,7 @@
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
     private val accounts: AccountShares? = null,
+    private val returns: PoolReturns? = null,
 ) {
     private val cost = TokenCost()
     private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
@@ -58,6 +60,9 @@
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
 
+    /** Planned returns of rejected callers, or null if returns are not planned. */
+    val plannedReturns: Map<Int, List<Int>>? get() = returns?.plan?.report
+
     /** Number of waiting requests. */
     val waitingRequests: Int get() = queue.size
 
@@ -86,6 +91,7 @@
         open.add(active)
         allowance.recordRequest()
         reserve.recordArrival(active.plan.waiting.order)
+        returns?.recordArrival(active.plan.waiting.order)
         enqueue(active)
     }
 
@@ -110,8 +116,23 @@
     }
 
     /** Records that [plan] was answered [milliseconds] after its send. */
-    fun recordCompletion(plan: RequestPlan, milliseconds: Long) =
+    fun recordCompletion(plan: RequestPlan, milliseconds: Long) {
         completions.record(plan.route.name, plan.waiting.outputTokens, milliseconds)
+        returns?.recordService(milliseconds)
+    }
+
+    /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
+    fun planReturn(request: WaitingRequest): Long? = returns?.let { planReturn(it, request, queue.size) }
+
+    private fun planReturn(returns: PoolReturns, request: WaitingRequest, ahead: Int): Long {
+        val atPeers = peers.waitingWithHigherPriority(name, request.order + 1)
+        return returns.retryAfter(request, slots, ahead + atPeers, peers.gatewayCount)
+    }
+
+    /** Applies the planned returns that [peer] reports. */
+    fun recordPeerReturns(peer: String, planned: Map<Int, List<Int>>) {
+        returns?.plan?.recordPeer(peer, planned)
+    }
 
     /** Ends all requests, because the process stops. */
     fun endAll() = open.toList().forEach { it.endForStop() }
@@ -121,6 +142,7 @@
 
     /** Called when an endpoint has freed capacity. */
     fun onCapacityFreed() {
+        returns?.let { returns -> orderHeldBack()?.let(returns.turns::recordRelease) }
         onChange()
         dispatchWaiting()
     }
@@ -201,6 +223,17 @@
         }
     }
 
+    /** The highest order that waits here while requests of higher ones wait in other gateways, or null. */
+    private fun orderHeldBack(): Int? =
+        queue.highestPriority?.order?.takeIf { peers.waitingWithHigherPriority(name, it) > 0 }
+
+    private fun noteHeldBack() {
+        val order = orderHeldBack() ?: return
+        returns?.run {
+            turns.recordHeldBack(order, clock.monotonicMilliseconds(), longestHold(slots, peers.gatewayCount))
+        }
+    }
+
     private fun dispatchWaiting() {
         if (isDispatching) return
         isDispatching = true
@@ -217,15 +250,20 @@
         val now = clock.monotonicMilliseconds()
         val free = endpoints.values.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
-        val (request, endpoint) = queue.candidates(now)
+        val candidates = queue.candidates(now)
             .filter { activeRequests[it.sequence]?.let { active -> maySend(active, now) } == true }
-            .takeWhile { reserve.mayUse(free, slots, it.order, queue.useOf(it)) }
-            .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
+        val inTurn = returns?.turns?.candidatesInTurn(candidates, now)?.let { firstWithEndpoint(it, now) }
+        inTurn?.let { (request, _) -> returns?.turns?.recordTurn(request.order) }
+        val (request, endpoint) = inTurn
+            ?: firstWithEndpoint(candidates.takeWhile { reserve.mayUse(free, slots, it.order, queue.useOf(it)) }, now)
             ?: return false
         send(request, endpoint, now)
         return true
     }
 
+    private fun firstWithEndpoint(requests: List<WaitingRequest>, now: Long) = requests
+        .firstNotNullOfOrNull { request -> chooser.choose(request, endpoints.values, now)?.let { request to it } }
+
     private fun maySend(active: ActiveRequest, now: Long) = active.maySendAt(now) && !isTooLateForStop(active, now)
 
     /** Whether [active] is not expected to end before a planned stop does. A response that has begun goes on. */
@@ -243,6 +281,7 @@
             accounts?.recordSent(request.account, cost.of(request, request.units), request.units)
         }
         forecast.recordDispatch(now, hasMoreWaiting = queue.size > 0)
+        returns?.turns?.recordDispatch(request.order, queue.waitingOrders, now)
         activeRequests.remove(request.sequence)?.dispatch(endpoint)
     }
 
@@ -261,18 +300,35 @@
         val now = clock.monotonicMilliseconds()
         val pause = pauseOfAllEndpoints(now)
         var ahead = 0
+        val aheadByOrder = HashMap<Int, Int>()
         queue.inDispatchOrder(now).forEach { request ->
             val active = activeRequests[request.sequence]
+            val before = dispatchesBefore(ahead, aheadByOrder.getOrDefault(request.order, 0))
+            val isKept = active == null || active.isContinuation || canServeInTime(request, before, now)
             when {
-                active == null || active.isContinuation -> ahead++
-                pause > 0 && now + pause >= request.patienceEndsAt ->
+                active?.isContinuation == false && pause > 0 && now + pause >= request.patienceEndsAt ->
                     active.refuse("endpoints-paused", retryAfter(request, pause, now))
-                forecast.canDispatchInTime(request, ahead, now) -> ahead++
-                else -> active.refuse("overload", retryAfter(request, forecast.expectedWait(ahead, now), now))
+                isKept -> {
+                    ahead++
+                    aheadByOrder.merge(request.order, 1, Int::plus)
+                }
+                else -> active?.refuse("overload", overloadRetryAfter(request, ahead, now))
             }
         }
     }
 
+    /** Dispatches before the next request of an order; fewer than those [ahead] if lower orders have turns. */
+    private fun dispatchesBefore(ahead: Int, aheadOfOrder: Int): Int =
+        returns?.turns?.dispatchesBefore(ahead, aheadOfOrder) ?: ahead
+
+    private fun canServeInTime(request: WaitingRequest, ahead: Int, now: Long): Boolean =
+        forecast.canDispatchInTime(request, ahead, now) &&
+            returns?.isTooLate(request, forecast.expectedWait(ahead, now), now) != true
+
+    private fun overloadRetryAfter(request: WaitingRequest, ahead: Int, now: Long): Long =
+        returns?.let { planReturn(it, request, ahead) }
+            ?: retryAfter(request, forecast.expectedWait(ahead, now), now)
+
     /** Milliseconds until the first endpoint accepts requests again, or 0 if one of them has not asked for a pause. */
     private fun pauseOfAllEndpoints(now: Long): Long =
         endpoints.values.filter { !it.isClosed }.minOfOrNull { maxOf(0, it.pausedUntil - now) } ?: 0
@@ -292,6 +348,7 @@
                 isRecheckScheduled = false
                 refuseWithdrawnKeys()
                 refuseTooLateForStop()
+                noteHeldBack()
                 onPeerReports()
                 shedLateRequests()
             },
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestCompletion.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RequestCompletion.kt
@@ -78,31 +78,38 @@
 
     /** Ends with an error response of the gateway. */
     fun fail(status: HttpResponseStatus, reason: String, retryAfterMilliseconds: Long? = null) =
-        complete(reason, status.code()) {
+        complete(reason, status.code(), retryAfterMilliseconds) {
             responder.respond(status.code(), GatewayResponses.headers(retryAfterMilliseconds), Unpooled.EMPTY_BUFFER)
         }
 
     /** Ends a request whose caller has disconnected. */
     fun callerGone() = complete("caller-gone") {}
 
-    private fun complete(outcome: String, status: Int? = null, sendResponse: () -> Unit) {
+    private fun complete(
+        outcome: String,
+        status: Int? = null,
+        retryAfterMilliseconds: Long? = null,
+        sendResponse: () -> Unit,
+    ) {
         if (isCompleted) return
         isCompleted = true
         plan.request.body.release()
         onEnd()
-        record(outcome, status)
+        record(outcome, status, retryAfterMilliseconds)
         sendResponse()
     }
 
-    private fun record(outcome: String, status: Int?) {
+    private fun record(outcome: String, status: Int?, retryAfterMilliseconds: Long?) {
         val duration = context.clock.monotonicMilliseconds() - plan.waiting.arrivedAt
         if (outcome == ANSWERED) counters.countAnswered()
         counters.addWaited(firstSentAt?.let { it - plan.waiting.arrivedAt } ?: duration)
         context.metrics.countEnded(outcome.substringBefore(':'))
         context.metrics.recordDuration("total", plan.waiting.rank, duration)
+        retryAfterMilliseconds?.let { context.metrics.recordDuration("retry-after", plan.waiting.rank, it) }
         context.log.write("request.ended", plan) {
             put("outcome", outcome)
             status?.let { put("status", it) }
+            retryAfterMilliseconds?.let { put("retry-after", it) }
             put("milliseconds", duration)
             if (history.hasAnswerBegun) put("first-event", firstEventAt - plan.waiting.arrivedAt)
             if (lastEventAt != 0L) {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/FairWaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/FairWaitingQueue.kt
@@ -19,6 +19,8 @@
     override var size: Int = 0
         private set
 
+    override val waitingOrders: Set<Int> get() = groups.keys
+
     override val highestPriority: WaitingReport?
         get() = groups.firstEntry()?.let { (order, group) -> WaitingReport(order, group.size, group.lowestUse()) }
 
--- /dev/null
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/OrderTurns.kt
@@ -0,0 +1,62 @@
+package org.guavahatch.scheduling.direct
+
+import java.util.TreeMap
+
+/**
+ * Gives a small part of the dispatches to each lower order that waits, so that none is starved while higher ones keep a
+ * pool full.
+ */
+public class OrderTurns {
+    private val earned = TreeMap<Int, Double>()
+    private var dispatchedAt: Long? = null
+
+    /** Records a dispatch of [order] at [now] while requests of the orders [waiting] wait. */
+    public fun recordDispatch(order: Int, waiting: Collection<Int>, now: Long) {
+        dispatchedAt = now
+        earned.keys.retainAll(waiting)
+        val highest = minOf(order, waiting.minOrNull() ?: return)
+        waiting.filter { it > highest }.forEach(::earn)
+    }
+
+    /** Records that a request of this gateway has left the pool while [order] waits for higher ones at peers. */
+    public fun recordRelease(order: Int): Unit = earn(order)
+
+    /**
+     * Records that [order] waits at [now] while peers hold back the slots for higher ones; it earns a turn when this
+     * gateway has dispatched nothing for [longest] ms.
+     */
+    public fun recordHeldBack(order: Int, now: Long, longest: Long) {
+        val since = dispatchedAt ?: now.also { dispatchedAt = it }
+        if (now - since >= longest) earned[order] = 1.0
+    }
+
+    /** The candidates of the order whose turn it is at [now], which are those that can be on time; else empty. */
+    public fun candidatesInTurn(candidates: List<WaitingRequest>, now: Long): List<WaitingRequest> {
+        val order = earned.entries.firstOrNull { it.value >= 1 - ROUNDING }?.key ?: return emptyList()
+        return candidates.filter { it.order == order && !it.hasAnswerBegun && it.latestSendAt >= now }
+    }
+
+    /** Records that a request of [order] was sent in its turn. */
+    public fun recordTurn(order: Int) {
+        earned.computeIfPresent(order) { _, turns -> maxOf(0.0, turns - 1) }
+    }
+
+    /**
+     * Number of dispatches after which a request is sent at the latest: [ahead] others go before it, [aheadOfOrder] of
+     * which have its own order.
+     */
+    public fun dispatchesBefore(ahead: Int, aheadOfOrder: Int): Int = minOf(ahead, (aheadOfOrder + 1) * PART)
+
+    private fun earn(order: Int) {
+        earned.merge(order, 1.0 / PART) { one, other -> minOf(MAXIMUM_TURNS, one + other) }
+    }
+
+    public companion object {
+        /** Every tenth dispatch goes to a lower order. */
+        public const val PART: Int = 10
+
+        /** A turn that finds no request on time is kept, but turns do not pile up. */
+        private const val MAXIMUM_TURNS = 2.0
+        private const val ROUNDING = 1e-9
+    }
+}
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -115,6 +115,7 @@
  * @property waiting waiting requests of the highest priority, by pool
  * @property changedUse [AccountReport.use] of the accounts whose use has changed since the last message with [accounts]
  * @property quarantine what the gateway tells of prompt parts that end endpoints
+ * @property returns planned returns by pool, see [ReturnPlan.report], or null if the message does not include them
  */
 public data class PeerReport(
     public val name: String,
@@ -126,6 +127,7 @@
     public val waiting: Map<String, WaitingReport>,
     public val changedUse: Map<String, Long> = emptyMap(),
     public val quarantine: QuarantineReport = QuarantineReport(),
+    public val returns: Map<String, Map<Int, List<Int>>>? = null,
 )
 
 /**
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/RequestQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/RequestQueue.kt
@@ -5,6 +5,9 @@
     /** The highest priority among the waiting requests and the number of its requests, or null if none waits. */
     public val highestPriority: WaitingReport?
 
+    /** The orders of the waiting requests, the highest priority first. */
+    public val waitingOrders: Set<Int>
+
     /** Number of waiting requests. */
     public val size: Int
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingQueue.kt
@@ -27,6 +27,8 @@
     override val highestPriority: WaitingReport?
         get() = sizesByOrder.firstEntry()?.let { WaitingReport(it.key, it.value) }
 
+    override val waitingOrders: Set<Int> get() = sizesByOrder.keys
+
     override val size: Int get() = requests.size
 
     /** The request to dispatch next at [now], or null if none waits. */
