--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -42,6 +42,7 @@
     private val cost = TokenCost()
     private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
     private val forecast = QueueForecast()
+    private val overload = OverloadControl(name, peers, forecast, returns)
     private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
     private val open = LinkedHashSet<ActiveRequest>()
@@ -50,7 +51,6 @@
     private var isDispatching = false
     private var isRecheckScheduled = false
     private var reportsAppliedAt = 0L
-    private var costMeasuredAt = 0L
     private var slotsDividedAt = 0L
     private var slotsDividedFor = Int.MAX_VALUE
 
@@ -122,12 +122,7 @@
     }
 
     /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
-    fun planReturn(request: WaitingRequest): Long? = returns?.let { planReturn(it, request, queue.size) }
-
-    private fun planReturn(returns: PoolReturns, request: WaitingRequest, ahead: Int): Long {
-        val atPeers = peers.waitingWithHigherPriority(name, request.order + 1)
-        return returns.retryAfter(request, slots, ahead + atPeers, peers.gatewayCount)
-    }
+    fun planReturn(request: WaitingRequest): Long? = overload.plannedReturn(request, queue.size, slots)
 
     /** Applies the planned returns that [peer] reports. */
     fun recordPeerReturns(peer: String, planned: Map<Int, List<Int>>) {
@@ -142,7 +137,7 @@
 
     /** Called when an endpoint has freed capacity. */
     fun onCapacityFreed() {
-        returns?.let { returns -> orderHeldBack()?.let(returns.turns::recordRelease) }
+        overload.noteRelease(queue)
         onChange()
         dispatchWaiting()
     }
@@ -192,7 +187,7 @@
         val now = clock.monotonicMilliseconds()
         if (now - reportsAppliedAt >= RECHECK_MILLISECONDS) {
             applyReports()
-            measureCost(now)
+            if (accounts != null) cost.measure(endpoints.values, now)
             reportsAppliedAt = now
         }
         if (now - slotsDividedAt >= peers.reportIntervalMilliseconds) {
@@ -201,12 +196,6 @@
         dispatchWaiting()
     }
 
-    private fun measureCost(now: Long) {
-        if (accounts == null || now - costMeasuredAt < COST_INTERVAL_MILLISECONDS) return
-        cost.measure(endpoints.values)
-        costMeasuredAt = now
-    }
-
     private fun applyReports() {
         val reports = peers.freshReports()
         endpoints.values.forEach { endpoint ->
@@ -223,17 +212,6 @@
         }
     }
 
-    /** The highest order that waits here while requests of higher ones wait in other gateways, or null. */
-    private fun orderHeldBack(): Int? =
-        queue.highestPriority?.order?.takeIf { peers.waitingWithHigherPriority(name, it) > 0 }
-
-    private fun noteHeldBack() {
-        val order = orderHeldBack() ?: return
-        returns?.run {
-            turns.recordHeldBack(order, clock.monotonicMilliseconds(), longestHold(slots, peers.gatewayCount))
-        }
-    }
-
     private fun dispatchWaiting() {
         if (isDispatching) return
         isDispatching = true
@@ -286,13 +264,13 @@
     }
 
     private fun refuseWithdrawnKeys() = activeRequests.values.filter { it.isKeyWithdrawn }
-        .forEach { it.refuse("key-withdrawn", MINIMUM_RETRY_AFTER_MILLISECONDS) }
+        .forEach { it.refuse("key-withdrawn", OverloadControl.MINIMUM_RETRY_AFTER_MILLISECONDS) }
 
     private fun refuseTooLateForStop() {
         if (!stop.isStopping) return
         val now = clock.monotonicMilliseconds()
         activeRequests.values.filter { isTooLateForStop(it, now) }
-            .forEach { it.refuse(ActiveRequest.STOPPING, MINIMUM_RETRY_AFTER_MILLISECONDS) }
+            .forEach { it.refuse(ActiveRequest.STOPPING, OverloadControl.MINIMUM_RETRY_AFTER_MILLISECONDS) }
     }
 
     /** Refuses the requests that, with the queue as it is, would not be sent in time. */
@@ -303,42 +281,26 @@
         val aheadByOrder = HashMap<Int, Int>()
         queue.inDispatchOrder(now).forEach { request ->
             val active = activeRequests[request.sequence]
-            val before = dispatchesBefore(ahead, aheadByOrder.getOrDefault(request.order, 0))
-            val isKept = active == null || active.isContinuation || canServeInTime(request, before, now)
+            val aheadOfOrder = aheadByOrder.getOrDefault(request.order, 0)
+            val isKept = active == null ||
+                active.isContinuation ||
+                overload.canServeInTime(request, ahead, aheadOfOrder, now)
             when {
                 active?.isContinuation == false && pause > 0 && now + pause >= request.patienceEndsAt ->
-                    active.refuse("endpoints-paused", retryAfter(request, pause, now))
+                    active.refuse("endpoints-paused", overload.retryAfterWait(request, pause, now))
                 isKept -> {
                     ahead++
                     aheadByOrder.merge(request.order, 1, Int::plus)
                 }
-                else -> active?.refuse("overload", overloadRetryAfter(request, ahead, now))
+                else -> active?.refuse("overload", overload.retryAfter(request, ahead, slots, now))
             }
         }
     }
 
-    /** Dispatches before the next request of an order; fewer than those [ahead] if lower orders have turns. */
-    private fun dispatchesBefore(ahead: Int, aheadOfOrder: Int): Int =
-        returns?.turns?.dispatchesBefore(ahead, aheadOfOrder) ?: ahead
-
-    private fun canServeInTime(request: WaitingRequest, ahead: Int, now: Long): Boolean =
-        forecast.canDispatchInTime(request, ahead, now) &&
-            returns?.isTooLate(request, forecast.expectedWait(ahead, now), now) != true
-
-    private fun overloadRetryAfter(request: WaitingRequest, ahead: Int, now: Long): Long =
-        returns?.let { planReturn(it, request, ahead) }
-            ?: retryAfter(request, forecast.expectedWait(ahead, now), now)
-
     /** Milliseconds until the first endpoint accepts requests again, or 0 if one of them has not asked for a pause. */
     private fun pauseOfAllEndpoints(now: Long): Long =
         endpoints.values.filter { !it.isClosed }.minOfOrNull { maxOf(0, it.pausedUntil - now) } ?: 0
 
-    /** Retry-After advice; callers follow it for up to a third of their remaining time. */
-    private fun retryAfter(request: WaitingRequest, wait: Long, now: Long): Long {
-        val longest = (request.deadline - now) / RETRY_AFTER_DIVISOR
-        return wait.coerceIn(minOf(MINIMUM_RETRY_AFTER_MILLISECONDS, longest), maxOf(longest, 0))
-    }
-
     /** Rechecks after a delay, since an endpoint becomes usable again some time after a suspension or a refusal. */
     private fun scheduleRecheck() {
         if (isRecheckScheduled) return
@@ -348,7 +310,7 @@
                 isRecheckScheduled = false
                 refuseWithdrawnKeys()
                 refuseTooLateForStop()
-                noteHeldBack()
+                overload.noteHeldBack(queue, slots, clock.monotonicMilliseconds())
                 onPeerReports()
                 shedLateRequests()
             },
@@ -359,16 +321,9 @@
 
     private companion object {
         const val RECHECK_MILLISECONDS = 20L
-
-        /** The measured speeds of endpoints are averages over seconds. */
-        const val COST_INTERVAL_MILLISECONDS = 1_000L
         const val SPARE_CAPACITY_DIVISOR = 4
-        const val RETRY_AFTER_DIVISOR = 3
 
         /** A request of a route without recent answers is assumed to take half of the route's timeout. */
         const val UNKNOWN_TIMEOUT_DIVISOR = 2
-
-        /** Approximate time in which a full pool frees capacity. */
-        const val MINIMUM_RETRY_AFTER_MILLISECONDS = 200L
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/ReturnPlan.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/ReturnPlan.kt
@@ -41,17 +41,21 @@
      * @param demand what the pool serves and what is taken before the request
      * @param latest longest time in milliseconds after which the caller can still be served
      * @return milliseconds after which the caller should return: when the pool is expected to have capacity for it, or
-     * [latest] if it has none before
+     * about [latest] if it has none before
      */
     public fun plan(order: Int, demand: PoolDemand, latest: Long): Long {
         val now = clock.monotonicMilliseconds()
-        val delay = firstDelay(order, demand, latest, now) ?: maxOf(0, latest)
+        val delay = firstDelay(order, demand, latest, now) ?: lastDelay(maxOf(0, latest))
         val bucket = (now + delay) / BUCKET_MILLISECONDS
         own.getOrPut(order) { Buckets() }.add(bucket, 1)
         unreported.addLast(Planned(now, order, bucket))
         return delay
     }
 
+    /** At most [latest]; spread, as callers that are rejected together often have the same time left. */
+    private fun lastDelay(latest: Long): Long =
+        latest - random.nextLong(minOf(BUCKET_MILLISECONDS, latest / LAST_SPREAD_DIVISOR) + 1)
+
     private fun firstDelay(order: Int, demand: PoolDemand, latest: Long, now: Long): Long? {
         val current = now / BUCKET_MILLISECONDS
         val planned = plannedFrom(current, order, demand.gateways, now)
@@ -101,12 +105,12 @@
     /** Counts by bucket in a ring; a place is used again when its bucket has passed. */
     private class Buckets {
         private val counts = IntArray(HORIZON_BUCKETS)
-        private val buckets = LongArray(HORIZON_BUCKETS) { -1 }
+        private val numbers = LongArray(HORIZON_BUCKETS) { -1 }
 
         fun add(bucket: Long, count: Int) {
             val place = (bucket % HORIZON_BUCKETS).toInt()
-            if (buckets[place] != bucket) {
-                buckets[place] = bucket
+            if (numbers[place] != bucket) {
+                numbers[place] = bucket
                 counts[place] = 0
             }
             counts[place] += count
@@ -117,7 +121,7 @@
 
         fun at(bucket: Long): Int {
             val place = (bucket % HORIZON_BUCKETS).toInt()
-            return if (buckets[place] == bucket) counts[place] else 0
+            return if (numbers[place] == bucket) counts[place] else 0
         }
 
         fun from(first: Long): List<Int> = List(HORIZON_BUCKETS) { at(first + it) }.dropLastWhile { it == 0 }
@@ -137,6 +141,9 @@
         /** Covers a third of the time limits of usual routes, up to which callers follow the advice. */
         public const val HORIZON_BUCKETS: Int = 16
 
+        /** At most this part of the time is given up for spreading the callers that find no capacity. */
+        private const val LAST_SPREAD_DIVISOR = 4
+
         /** Keeps gateways with the same knowledge from naming the same moment; shorter than a bucket. */
         private const val SPREAD_MILLISECONDS = 125L
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/TokenCost.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/TokenCost.kt
@@ -7,12 +7,16 @@
  * the slots. A prompt token costs the time of its prefill, during which no other stream gets on.
  */
 public class TokenCost {
+    private var measuredAt: Long? = null
+
     /** Cost of an output token in prompt tokens; 1 until both are measured. */
     public var outputWeight: Double = 1.0
         private set
 
-    /** Takes over the speeds of [endpoints]. */
-    public fun measure(endpoints: Collection<EndpointState>) {
+    /** Takes over the speeds of [endpoints] at [now], at most each second, as they are averages over seconds. */
+    public fun measure(endpoints: Collection<EndpointState>, now: Long) {
+        measuredAt?.let { if (now - it < INTERVAL_MILLISECONDS) return }
+        measuredAt = now
         val weights = endpoints.mapNotNull(::outputWeightOf)
         if (weights.isNotEmpty()) outputWeight = weights.average()
     }
@@ -29,4 +33,8 @@
         val tokensPerStep = maxOf(endpoint.estimatedTokensPerEvent ?: 1.0, 1.0)
         return step / (tokensPerStep * maxOf(endpoint.listed.slots, 1) * prefill)
     }
+
+    private companion object {
+        const val INTERVAL_MILLISECONDS = 1_000L
+    }
 }
