--- a/daemon/src/test/kotlin/org/guavahatch/daemon/EventLoopGuardTest.kt
+++ b/daemon/src/test/kotlin/org/guavahatch/daemon/EventLoopGuardTest.kt
@@ -41,5 +41,5 @@
         }
     }
 
-    private fun startedLog() = DecisionLog("gateway-1").apply { start() }
+    private fun startedLog() = DecisionLog("gateway-1", "zone").apply { start() }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -20,13 +20,17 @@
 import org.guavahatch.gateway.request.GatewayResponses
 import org.guavahatch.gateway.request.PoolDispatcher
 import org.guavahatch.gateway.request.RequestContext
+import org.guavahatch.gateway.request.RequestOrigin
 import org.guavahatch.gateway.request.RequestPlan
+import org.guavahatch.gateway.request.origin
+import org.guavahatch.gateway.request.putOrigin
 import org.guavahatch.gateway.request.putTokens
 import org.guavahatch.gateway.settings.RequestSettings
 import org.guavahatch.model.forwarding.CallerLimits
 import org.guavahatch.model.forwarding.ForwardingAccount
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ForwardingRoute
+import org.guavahatch.scheduling.direct.AccountShares
 import org.guavahatch.scheduling.direct.RepeatedRequests
 import org.guavahatch.scheduling.direct.WaitingRequest
 import org.guavahatch.scheduling.quarantine.PromptParts
@@ -116,6 +120,7 @@
     }
 
     private fun start(plan: RequestPlan, responder: CallerResponder): CallerRequestListener {
+        plan.origin.counters(context.metrics).countAsked()
         val pool = state.pool(plan.pool)
         val activeRequest = ActiveRequest(plan, responder, pool, context)
         pool.submit(activeRequest)
@@ -125,6 +130,11 @@
     private fun refuse(request: CallerRequest, responder: CallerResponder, refusal: Refusal) {
         request.body.release()
         context.metrics.countEnded(refusal.reason)
+        val origin = originOf(request)
+        origin.counters(context.metrics).apply {
+            countAsked()
+            countRefused()
+        }
         context.log.write("request.refused") {
             put("request", request.headers.get(headers.requestId).orEmpty())
             put("status", refusal.status.code())
@@ -133,6 +143,8 @@
             put("configuration", state.configuration?.version ?: 0)
             put("age", state.freshness.ageMilliseconds() ?: -1)
             refusal.retryAfterMilliseconds?.let { put("retry-after", it) }
+            origin.route?.let { put("route", it.name) }
+            putOrigin(origin, context.log.zone)
         }
         responder.respond(
             refusal.status.code(),
@@ -141,6 +153,17 @@
         )
     }
 
+    /** What a request that was not planned is attributed to, as far as the configuration tells. */
+    private fun originOf(request: CallerRequest): RequestOrigin {
+        val configuration = state.configuration ?: return RequestOrigin(account = null, route = null)
+        val route = findRoute(configuration, request)
+        val key = request.headers.get(headers.key).takeIf { route?.allowsAnonymousCallers != true }
+        return RequestOrigin(key?.let(configuration::findAccount), route)
+    }
+
+    private fun findRoute(configuration: ForwardingConfiguration, request: CallerRequest): ForwardingRoute? =
+        configuration.findRoute(request.headers.get(HttpHeaderNames.HOST).orEmpty(), request.target)
+
     private fun planRequest(request: CallerRequest): Either<Refusal, RequestPlan> = either {
         ensure(!isStopOver()) { Refusal.unavailable(ActiveRequest.STOPPING) }
         val configuration = ensureNotNull(state.configuration) { Refusal.unavailable("no-configuration") }
@@ -166,7 +189,7 @@
             account,
             units,
             parts,
-            waitingRequest(request, route, state.pool(pool), account, tokens),
+            waitingRequest(request, route, state.pool(pool), account, tokens).charged(account, units),
             configuration.version,
         )
     }
@@ -175,8 +198,7 @@
         configuration: ForwardingConfiguration,
         request: CallerRequest,
     ): Either<Refusal, ForwardingRoute> {
-        val host = request.headers.get(HttpHeaderNames.HOST).orEmpty()
-        val route = configuration.findRoute(host, request.target)
+        val route = findRoute(configuration, request)
         return route?.right() ?: finalRefusal(Refusal(HttpResponseStatus.NOT_FOUND, "no-route")).left()
     }
 
@@ -248,6 +270,9 @@
         )
     }
 
+    private fun WaitingRequest.charged(account: ForwardingAccount?, units: Long) =
+        copy(account = account?.name ?: AccountShares.NO_ACCOUNT, units = units)
+
     /** Time without an event after which callers of streams disconnect; other callers wait until their deadline. */
     private fun patienceMilliseconds(route: ForwardingRoute): Long = if (!route.isStream) {
         Long.MAX_VALUE / 2
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -11,12 +11,14 @@
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountLedger
 import org.guavahatch.scheduling.direct.AccountReport
+import org.guavahatch.scheduling.direct.AccountShares
 import org.guavahatch.scheduling.direct.ConfigurationFreshness
 import org.guavahatch.scheduling.direct.EarliestFirstTokenChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
+import org.guavahatch.scheduling.direct.PoolReturns
 import org.guavahatch.scheduling.direct.QuotaTolerance
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
@@ -57,6 +59,9 @@
     val ledger: AccountLedger =
         AccountLedger(clock, QuotaTolerance(settings.quota.overage, settings.quota.slackTokens))
 
+    /** Recent use of client accounts, or null without fair shares. */
+    private val shares: AccountShares? = if (settings.accounts.fairShares) AccountShares(clock) else null
+
     /** Age of the configuration in force. */
     val freshness: ConfigurationFreshness = ConfigurationFreshness(
         clock,
@@ -131,6 +136,7 @@
         document = newDocument
         ledger.prepare(newer.accounts.values)
         rollouts.onPools(newer.routes.flatMapTo(HashSet()) { route -> route.targets.map { it.pool } })
+        shares?.configure(newer.accounts.values)
         log.write("configuration.applied") {
             put("version", newer.version)
             put("previous", previous?.version ?: 0)
@@ -169,6 +175,7 @@
     override fun onGatewaysChanged(peers: Map<String, String>) {
         gateways = peers - settings.name
         this.peers.setMembers(gateways.keys)
+        shares?.retainPeers(gateways.keys)
         log.write("gateways.listed") { put("names", gateways.keys.sorted().joinToString(" ")) }
     }
 
@@ -204,8 +211,12 @@
         val used = peers.processReport(report) ?: return
         val levels = report.accounts?.levels
         if (isFirst && levels != null && isRecentlyStarted) ledger.raiseLevels(levels)
+        shares?.recordPeerUse(report.name, used)
         used.forEach { (account, units) -> ledger.recordPeerUse(account, units) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
+        report.returns?.let { returns ->
+            pools.values.forEach { it.recordPeerReturns(report.name, returns[it.name].orEmpty()) }
+        }
         pools.values.forEach { it.onPeerReports() }
     }
 
@@ -214,9 +225,13 @@
 
     /** The next report to the peers, with the use of accounts as [detail] says. */
     fun report(detail: ReportDetail): PeerReport {
-        val use = ledger.ownUse
+        val use = ledger.ownUse + shares?.useWithoutQuota.orEmpty()
         val changedUse = use.filter { (account, units) -> units != completelyReportedUse[account] }
-        if (detail == ReportDetail.COMPLETE) completelyReportedUse = use
+        if (detail == ReportDetail.COMPLETE) {
+            completelyReportedUse = use
+            logShares()
+            logReturns()
+        }
         val load = HashMap<String, EndpointLoad>()
         pools.values.forEach { it.collectLoad(load) }
         ledger.recordGateways(heard = peers.freshReports().size + 1, gateways = peers.gatewayCount)
@@ -229,12 +244,45 @@
             accounts = if (detail == ReportDetail.COMPLETE) AccountReport(ledger.levels, use) else null,
             waiting = pools.values.mapNotNull { pool -> pool.highestRankWaiting?.let { pool.name to it } }.toMap(),
             changedUse = if (detail == ReportDetail.CHANGES) changedUse else emptyMap(),
+            returns = if (detail == ReportDetail.LOAD) null else plannedReturns(),
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
             rollouts = if (detail == ReportDetail.LOAD) emptyList() else rollouts.reports(),
             zone = preferredZone.orEmpty(),
         )
     }
 
+    private fun logShares() {
+        val waiting = pools.values.sumOf { it.waitingRequests }
+        val uses = shares?.highestUses(LOGGED_ACCOUNTS) ?: return
+        if (waiting == 0) return
+        log.write("accounts.shares") {
+            put("waiting", waiting)
+            put("highest-uses", uses.joinToString(" ") { (account, use) -> "$account=$use" })
+            put("gateways-heard", peers.freshReports().size + 1)
+            put("gateways", peers.gatewayCount)
+        }
+    }
+
+    private fun plannedReturns(): Map<String, Map<Int, List<Int>>>? {
+        if (!settings.accounts.plannedReturns) return null
+        return pools.values.associate { it.name to it.plannedReturns.orEmpty() }.filterValues { it.isNotEmpty() }
+    }
+
+    private fun logReturns() = plannedReturns().orEmpty().forEach { (pool, returns) ->
+        log.write("returns.planned") {
+            put("pool", pool)
+            put(
+                "returns",
+                returns.entries.joinToString("; ") { (order, counts) ->
+                    "$order: ${counts.joinToString(" ")}"
+                },
+            )
+            put("waiting", pool(pool).waitingRequests)
+            put("gateways-heard", peers.freshReports().size + 1)
+            put("gateways", peers.gatewayCount)
+        }
+    }
+
     private fun newPool(name: String): PoolDispatcher {
         val limit = RetryLimit(
             settings.retries.perRequest,
@@ -245,9 +293,20 @@
             configuration?.poolMemoryTokens?.get(name)
         }
         val allowance = RetryAllowance(clock, limit)
-        val shares = SlotShares(random)
-        val pool =
-            PoolDispatcher(name, loop, clock, chooser, shares, allowance, peers, connector, stop, preferredZone)
+        val pool = PoolDispatcher(
+            name,
+            loop,
+            clock,
+            chooser,
+            SlotShares(random),
+            allowance,
+            peers,
+            connector,
+            stop,
+            preferredZone,
+            shares,
+            if (settings.accounts.plannedReturns) PoolReturns(clock, random) else null,
+        )
         pool.rollouts = rollouts
         pool.onChange = { listeners.forEach { it() } }
         return pool
@@ -272,6 +331,7 @@
 
         /** Number of own reports after a start during which the account levels of a peer are the more current ones. */
         const val LEVEL_ADOPTION_REPORTS = 50L
+        const val LOGGED_ACCOUNTS = 5
         const val MILLISECONDS_PER_SECOND = 1_000.0
     }
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -22,6 +22,8 @@
 
     /** Answers and phases of rollouts. */
     val rollouts: RolloutMetrics = RolloutMetrics(registry)
+    /** Counters by client account and route. */
+    val accounts: AccountMetrics = AccountMetrics(registry)
 
     /** Returns the current values in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -19,14 +19,17 @@
  * they hold, by endpoint; earlier versions leave out the last
  * @property accountUse units admitted since the sender's start, by account, or null if left out
  * @property accountLevels units left, by account, or null if left out
- * @property waiting order of the highest rank that waits, the number of its requests, and, if the sender prefers its
- * zone, the number of those that may leave it, by pool
+ * @property waiting order of the highest rank that waits and the number of its requests, by pool; if the sender prefers
+ * its zone or shares pools between accounts, followed by the number of requests that may leave the zone, or -1; with
+ * fair shares then by the lowest weighted use of their accounts and the number of requests of these accounts
  * @property wantsEcho whether the sender needs echoes to confirm its configuration; senders of earlier versions, which
  * leave it out, always do
  * @property changedUse [accountUse] of the accounts that have changed since the last datagram with [accountUse]
  * @property crashes ends of endpoints that the sender has observed
  * @property answeredParts milliseconds since the latest answer to a request with a suspected prompt part, by part
  * @property quarantines milliseconds for which requests are still held back, by their prompt parts
+ * @property returns number of rejected callers that the sender expects back, by pool, order and bucket of 250 ms from
+ * that of the send; null if left out
  * @property rollouts rollouts of the sender
  * @property zone zone that the sender prefers; empty if it prefers none
  */
@@ -48,6 +51,7 @@
     @CborLabel(14) val answeredParts: Map<String, Long> = emptyMap(),
     @CborLabel(15) val quarantines: Map<String, Long> = emptyMap(),
     @CborLabel(16) val rollouts: List<RolloutDatagram> = emptyList(),
+    @CborLabel(17) val returns: Map<String, Map<Int, List<Int>>>? = null,
     @CborLabel(18) val zone: String = "",
 )
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -20,6 +20,7 @@
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
+import org.guavahatch.scheduling.direct.LowestUse
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.quarantine.CrashReport
@@ -121,7 +122,7 @@
         report.load.mapValues { (_, load) -> listOf(load.requests.toLong(), load.prefillTokens, load.tokens) },
         report.accounts?.use,
         report.accounts?.levels,
-        report.waiting.mapValues { (_, waiting) -> listOfNotNull(waiting.order, waiting.requests, waiting.leaving) },
+        report.waiting.mapValues { (_, waiting) -> WaitingCodec.encode(waiting) },
         state.freshness.needsConfirmation(),
         report.changedUse,
         report.quarantine.crashes.map { crash ->
@@ -131,6 +132,7 @@
         report.quarantine.remaining.mapKeys { (quarantine, _) -> quarantine.toString() },
         rollouts = report.rollouts.map(RolloutDatagram::of),
         zone = report.zone,
+        returns = report.returns,
     )
 
     private fun read(packet: DatagramPacket) {
@@ -178,12 +180,13 @@
         configurationVersion = datagram.configurationVersion,
         accounts = accountsOf(datagram),
         waiting = datagram.waiting.mapValues { (_, waiting) ->
-            WaitingReport(waiting[0], waiting[1], waiting.getOrNull(2))
+            WaitingCodec.decode(waiting)
         },
         changedUse = datagram.changedUse,
         quarantine = quarantineOf(datagram),
         rollouts = datagram.rollouts.mapNotNull { it.toReport() },
         zone = datagram.zone,
+        returns = datagram.returns,
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -76,7 +76,10 @@
     internal val usedConnections: Set<Long> get() = history.usedConnections
 
     /** Counts a send on the connection numbered [connection] and returns the number of the send. */
-    internal fun onSent(connection: Long): Int = history.recordSent(connection)
+    internal fun onSent(connection: Long): Int {
+        completion.noteSent()
+        return history.recordSent(connection)
+    }
 
     /** The endpoint reported that it has not run the request. */
     internal fun onRejected(endpoint: EndpointState, status: HttpResponseStatus) {
@@ -237,7 +240,8 @@
 
     /** The caller is about to disconnect, as it has received no part of the response. */
     private fun onPatienceExpired() {
-        if (attempt == null && history.isNotRun) completion.notRun("overload", RETRY_AFTER_MILLISECONDS)
+        if (attempt != null || !history.isNotRun) return
+        completion.notRun("overload", dispatcher.planReturn(plan.waiting) ?: RETRY_AFTER_MILLISECONDS)
     }
 
     private fun onDeadline() {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -6,17 +6,21 @@
 import org.guavahatch.model.forwarding.ListedEndpoint
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
+import org.guavahatch.scheduling.direct.AccountShares
 import org.guavahatch.scheduling.direct.CompletionForecast
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.FairWaitingQueue
 import org.guavahatch.scheduling.direct.FirstEventForecast
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
+import org.guavahatch.scheduling.direct.PoolReturns
 import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.QueueForecast
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.SlotShares
+import org.guavahatch.scheduling.direct.TokenCost
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
@@ -40,9 +44,13 @@
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
     preferredZone: String? = null,
+    private val accounts: AccountShares? = null,
+    private val returns: PoolReturns? = null,
 ) {
-    private val queue = WaitingQueue()
+    private val cost = TokenCost()
+    private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
     private val forecast = QueueForecast()
+    private val overload = OverloadControl(name, peers, forecast, returns)
     private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
     private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve) }
@@ -64,6 +72,9 @@
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
 
+    /** Planned returns of rejected callers, or null if returns are not planned. */
+    val plannedReturns: Map<Int, List<Int>>? get() = returns?.plan?.report
+
     /** Number of waiting requests. */
     val waitingRequests: Int get() = queue.size
 
@@ -75,7 +86,7 @@
         get() = if (zones != null) {
             zones.report(queue, endpoints.values, clock.monotonicMilliseconds())
         } else {
-            queue.highestPriority?.let { if (freeSlots > 0) it.copy(requests = 0) else it }
+            queue.highestPriority?.let { if (freeSlots > 0) it.withoutRequests() else it }
         }
 
     /** Number of submitted requests that have not ended. */
@@ -98,6 +109,7 @@
         open.add(active)
         allowance.recordRequest()
         reserve.recordArrival(active.plan.waiting.order)
+        returns?.recordArrival(active.plan.waiting.order)
         enqueue(active)
     }
 
@@ -122,8 +134,18 @@
     }
 
     /** Records that [plan] was answered [milliseconds] after its send. */
-    fun recordCompletion(plan: RequestPlan, milliseconds: Long) =
+    fun recordCompletion(plan: RequestPlan, milliseconds: Long) {
         completions.record(plan.route.name, plan.waiting.outputTokens, milliseconds)
+        returns?.recordService(milliseconds)
+    }
+
+    /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
+    fun planReturn(request: WaitingRequest): Long? = overload.plannedReturn(request, queue.size, slots)
+
+    /** Applies the planned returns that [peer] reports. */
+    fun recordPeerReturns(peer: String, planned: Map<Int, List<Int>>) {
+        returns?.plan?.recordPeer(peer, planned)
+    }
 
     /** Ends all requests, because the process stops. */
     fun endAll() = open.toList().forEach { it.endForStop() }
@@ -133,6 +155,7 @@
 
     /** Called when an endpoint has freed capacity. */
     fun onCapacityFreed() {
+        overload.noteRelease(queue)
         onChange()
         dispatchWaiting()
     }
@@ -171,7 +194,10 @@
 
     private val highestWaitingOrder: Int get() = queue.highestPriority?.order ?: Int.MAX_VALUE
 
-    private fun competingGateways() = peers.gatewaysWithWaiting(name, highestWaitingOrder)
+    private fun competingGateways(): Int {
+        val waiting = queue.highestPriority
+        return peers.gatewaysWithWaiting(name, waiting?.order ?: Int.MAX_VALUE, waiting?.lowestUse?.use)
+    }
 
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
@@ -185,6 +211,7 @@
         val now = clock.monotonicMilliseconds()
         if (now - reportsAppliedAt >= RECHECK_MILLISECONDS) {
             applyReports()
+            if (accounts != null) cost.measure(endpoints.values, now)
             reportsAppliedAt = now
         }
         if (now - slotsDividedAt >= peers.reportIntervalMilliseconds) {
@@ -228,21 +255,34 @@
         val free = candidates.serving.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
         val sendable = queue.candidates(now).filter { isSendable(it, now) }
-        val choice = if (zones != null) {
+        val choice = chooseInTurn(sendable, candidates, now) ?: if (zones != null) {
             chooseByZone(zones, sendable, candidates, now)
         } else {
-            choose(sendable, candidates, free, now)
+            val allowed = sendable.takeWhile { reserve.mayUse(free, slots, it.order, queue.useOf(it)) }
+            choose(allowed, candidates, now) { it }
         }
         send(choice ?: return false, now)
         return true
     }
 
-    private fun choose(requests: List<WaitingRequest>, candidates: RolloutCandidates, free: Int, now: Long) = requests
-        .takeWhile { reserve.mayUse(free, slots, it.order) }
-        .firstNotNullOfOrNull { request ->
-            val choose = anyZone(request, now)
-            candidates.choose(request, routeOf(request), choose, choose)
-        }
+    /** Lets a lower order have its small part of the dispatches, in its own zone if zones are preferred. */
+    private fun chooseInTurn(requests: List<WaitingRequest>, candidates: RolloutCandidates, now: Long): ZoneChoice? {
+        val turns = returns?.turns ?: return null
+        val inTurn = turns.candidatesInTurn(requests, now) ?: return null
+        val choice = choose(inTurn, candidates, now) { zones?.ownEndpoints(it) ?: it } ?: return null
+        turns.recordTurn(choice.request.order)
+        return choice
+    }
+
+    private fun choose(
+        requests: List<WaitingRequest>,
+        candidates: RolloutCandidates,
+        now: Long,
+        limit: (Collection<EndpointState>) -> Collection<EndpointState>,
+    ): ZoneChoice? = requests.firstNotNullOfOrNull { request ->
+        val choose = anyZone(request, now)
+        candidates.choose(request, routeOf(request), choose) { choose(limit(it)) }
+    }
 
     private fun anyZone(request: WaitingRequest, now: Long) = { endpoints: Collection<EndpointState> ->
         chooser.choose(request, endpoints, now)?.let { ZoneChoice(request, it, reason = null) }
@@ -284,19 +324,25 @@
     }
 
     private fun send(choice: ZoneChoice, now: Long) {
-        queue.remove(choice.request)
+        val request = choice.request
+        queue.remove(request)
+        // The use of an interrupted stream was counted when it was first sent.
+        if (!request.hasAnswerBegun) {
+            accounts?.recordSent(request.account, cost.of(request, request.units), request.units)
+        }
         forecast.recordDispatch(now, hasMoreWaiting = queue.size > 0)
-        activeRequests.remove(choice.request.sequence)?.dispatch(choice.endpoint, choice.reason)
+        returns?.turns?.recordDispatch(request.order, queue.waitingOrders, now)
+        activeRequests.remove(request.sequence)?.dispatch(choice.endpoint, choice.reason)
     }
 
     private fun refuseWithdrawnKeys() = activeRequests.values.filter { it.isKeyWithdrawn }
-        .forEach { it.refuse("key-withdrawn", MINIMUM_RETRY_AFTER_MILLISECONDS) }
+        .forEach { it.refuse("key-withdrawn", OverloadControl.MINIMUM_RETRY_AFTER_MILLISECONDS) }
 
     private fun refuseTooLateForStop() {
         if (!stop.isStopping) return
         val now = clock.monotonicMilliseconds()
         activeRequests.values.filter { isTooLateForStop(it, now) }
-            .forEach { it.refuse(ActiveRequest.STOPPING, MINIMUM_RETRY_AFTER_MILLISECONDS) }
+            .forEach { it.refuse(ActiveRequest.STOPPING, OverloadControl.MINIMUM_RETRY_AFTER_MILLISECONDS) }
     }
 
     /** Refuses the requests that, with the queue as it is, would not be sent in time. */
@@ -304,14 +350,21 @@
         val now = clock.monotonicMilliseconds()
         val pause = pauseOfAllEndpoints(now)
         var ahead = 0
+        val aheadByOrder = HashMap<Int, Int>()
         queue.inDispatchOrder(now).forEach { request ->
             val active = activeRequests[request.sequence]
+            val aheadOfOrder = aheadByOrder.getOrDefault(request.order, 0)
+            val isKept = active == null ||
+                active.isContinuation ||
+                overload.canServeInTime(request, ahead, aheadOfOrder, now)
             when {
-                active == null || active.isContinuation -> ahead++
-                pause > 0 && now + pause >= request.patienceEndsAt ->
-                    active.refuse("endpoints-paused", retryAfter(request, pause, now))
-                forecast.canDispatchInTime(request, ahead, now) -> ahead++
-                else -> active.refuse("overload", retryAfter(request, forecast.expectedWait(ahead, now), now))
+                active?.isContinuation == false && pause > 0 && now + pause >= request.patienceEndsAt ->
+                    active.refuse("endpoints-paused", overload.retryAfterWait(request, pause, now))
+                isKept -> {
+                    ahead++
+                    aheadByOrder.merge(request.order, 1, Int::plus)
+                }
+                else -> active?.refuse("overload", overload.retryAfter(request, ahead, slots, now))
             }
         }
     }
@@ -320,12 +373,6 @@
     private fun pauseOfAllEndpoints(now: Long): Long =
         endpoints.values.filter { !it.isClosed }.minOfOrNull { maxOf(0, it.pausedUntil - now) } ?: 0
 
-    /** Retry-After advice; callers follow it for up to a third of their remaining time. */
-    private fun retryAfter(request: WaitingRequest, wait: Long, now: Long): Long {
-        val longest = (request.deadline - now) / RETRY_AFTER_DIVISOR
-        return wait.coerceIn(minOf(MINIMUM_RETRY_AFTER_MILLISECONDS, longest), maxOf(longest, 0))
-    }
-
     /** Rechecks after a delay, since an endpoint becomes usable again some time after a suspension or a refusal. */
     private fun scheduleRecheck() {
         if (isRecheckScheduled) return
@@ -335,6 +382,7 @@
                 isRecheckScheduled = false
                 refuseWithdrawnKeys()
                 refuseTooLateForStop()
+                overload.noteHeldBack(queue, slots, clock.monotonicMilliseconds())
                 onPeerReports()
                 shedLateRequests()
             },
@@ -346,12 +394,8 @@
     private companion object {
         const val RECHECK_MILLISECONDS = 20L
         const val SPARE_CAPACITY_DIVISOR = 4
-        const val RETRY_AFTER_DIVISOR = 3
 
         /** A request of a route without recent answers is assumed to take half of the route's timeout. */
         const val UNKNOWN_TIMEOUT_DIVISOR = 2
-
-        /** Approximate time in which a full pool frees capacity. */
-        const val MINIMUM_RETRY_AFTER_MILLISECONDS = 200L
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -4,8 +4,8 @@
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PriorityReserve
+import org.guavahatch.scheduling.direct.RequestQueue
 import org.guavahatch.scheduling.direct.SlotShares
-import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
 
@@ -175,16 +175,20 @@
     }
 
     /** The waiting requests of the highest priority in [queue], for the peers, or null if none waits. */
-    public fun report(queue: WaitingQueue, endpoints: Collection<EndpointState>, now: Long): WaitingReport? {
+    public fun report(queue: RequestQueue, endpoints: Collection<EndpointState>, now: Long): WaitingReport? {
         val highest = queue.highestPriority ?: return null
         val hasFreeSlot = endpoints.any { isHome(it) && !it.isClosed && it.freeSlotsAt(now) > 0 }
-        if (hasFreeSlot) return highest.copy(requests = 0, leaving = 0)
+        if (hasFreeSlot) return highest.withoutRequests().copy(leaving = 0)
         val slowestAnswer = slowestAnswerAtHome(endpoints)
         return highest.copy(
             leaving = queue.countOfHighestPriority(MAXIMUM_LEAVING) { mayLeave(it, slowestAnswer, now) },
         )
     }
 
+    /** Those of [endpoints] that are in the zone of this gateway, or all if none is. */
+    public fun ownEndpoints(endpoints: Collection<EndpointState>): Collection<EndpointState> =
+        endpoints.filter(::isHome).ifEmpty { endpoints }
+
     private fun demand(endpoints: Collection<EndpointState>, now: Long): ZoneDemand {
         demand?.takeIf { now - demandAt < DEMAND_MILLISECONDS }?.let { return it }
         val servedZones = endpoints.filter { !it.isClosed }.mapTo(HashSet()) { it.listed.zone }
