--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
@@ -37,14 +37,21 @@
         sent.targetSends++
     }
 
-    /** Whether the share of [route] and of the whole pool allow one more send to the target version. */
+    /**
+     * Whether the share of [route] and of the whole pool allow one more send to the target version. The sends that the
+     * pool still allows are kept for the routes that lack most, or frequent routes would take those of rare ones.
+     */
     fun allowsTarget(route: String): Boolean {
-        if (targetSends + 1 > share * sends + slackPart + (if (isRecentlyStarted) 0.0 else offset)) return false
         // Without sends of the route its rounding offset is not drawn yet, as this must be free of side effects.
-        val sent = routes[route] ?: return false
-        return sent.targetSends + 1 <= share * sent.sends + slackPart * sent.sends / sends + sent.offset
+        val missing = missing(routes[route] ?: return false)
+        if (missing < 1) return false
+        val kept = routes.values.count { missing(it) > missing }
+        return targetSends + 1 + kept <= share * sends + slackPart + (if (isRecentlyStarted) 0.0 else offset)
     }
 
+    private fun missing(route: RouteSends) =
+        share * route.sends + slackPart * route.sends / sends + route.offset - route.targetSends
+
     private val share get() = limits.exposureShare * USED_SHARE
 
     private val slackPart: Double
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -152,7 +152,7 @@
 
     /** Whether the next request of [route] may be sent to [endpoint]. Without side effects. */
     public fun mayUse(route: String, endpoint: ListedEndpoint): Boolean = when (phase) {
-        RolloutPhase.RUNNING -> !isTarget(endpoint) || isNothingToMove || (isTargetDue(route) && isCanary(endpoint))
+        RolloutPhase.RUNNING -> !isTarget(endpoint) || isNothingToMove || (isCanary(endpoint) && isTargetDue(route))
         RolloutPhase.PROMOTING -> mayUseWhilePromoting(endpoint)
         RolloutPhase.COMPLETED -> isTarget(endpoint)
         RolloutPhase.ROLLED_BACK -> !isTarget(endpoint)
