--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
@@ -64,26 +64,39 @@
                 endedAt.awaitUntil(orderedAt + DURATION_MILLISECONDS + WRITE_MILLISECONDS)
                 Thread.sleep(AFTER_MILLISECONDS)
                 callers.stop()
-                val state = deployment.rolloutState()
-                val total = oldSends.size + newSends.size
-                println(
-                    "rollout soak seed $seed: $state, ${newSends.size} of $total; ${faults.history.joinToString(", ")}",
-                )
-                val end = endedAt.milliseconds ?: Long.MAX_VALUE
-                listOfNotNull(
-                    "the state is $state".takeIf { state != if (isBad) "rolled_back" else "completed" },
-                    "${newSends.size} of $total sends to a bad version"
-                        .takeIf { isBad && newSends.size > SHARE * total + SLACK },
-                    "sends to an old endpoint after the end".takeIf { !isBad && oldSends.any { it > end } },
-                    "sends to a bad version after the end"
-                        .takeIf { isBad && newSends.any { it > end + HEARD_MILLISECONDS } },
-                ) + SoakInvariants(endpoints, emptyMap()).violations(callers.calls.toList())
+                val outcome = Outcome(isBad, deployment.rolloutState(), endedAt.milliseconds, oldSends, newSends)
+                println("rollout soak seed $seed: $outcome; ${faults.history.joinToString(", ")}")
+                outcome.violations() + SoakInvariants(endpoints, emptyMap()).violations(callers.calls.toList())
             } finally {
                 callers.stop()
                 gateways.forEach { it.close() }
             }
         }
 
+    /** What endpoints and the store observed of the rollout of a bad or a good version. */
+    private class Outcome(
+        private val isBad: Boolean,
+        private val state: String?,
+        private val endedAt: Long?,
+        private val oldSends: Collection<Long>,
+        private val newSends: Collection<Long>,
+    ) {
+        private val total = oldSends.size + newSends.size
+
+        fun violations(): List<String> {
+            val end = endedAt ?: Long.MAX_VALUE
+            val isExposed = newSends.size > SHARE * total + SLACK
+            return listOfNotNull(
+                "the state is $state".takeIf { state != if (isBad) "rolled_back" else "completed" },
+                "${newSends.size} of $total sends to a bad version".takeIf { isBad && isExposed },
+                "sends to an old endpoint after the end".takeIf { !isBad && oldSends.any { it > end } },
+                "late sends to a bad version".takeIf { isBad && newSends.any { it - HEARD_MILLISECONDS > end } },
+            )
+        }
+
+        override fun toString() = "$state, ${newSends.size} of $total sends to the new version"
+    }
+
     /** Observes when the store holds the end of the rollout. */
     private class EndWatch(private val deployment: Deployment) {
         @Volatile
