--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -173,7 +173,9 @@
         name = datagram.name,
         incarnation = datagram.incarnation,
         sequence = datagram.sequence,
-        load = datagram.load.mapValues { (_, load) -> EndpointLoad(load[0].toInt(), load[1], load.getOrElse(2) { load[1] }) },
+        load = datagram.load.mapValues { (_, load) ->
+            EndpointLoad(load[0].toInt(), load[1], load.getOrElse(2) { load[1] })
+        },
         configurationVersion = datagram.configurationVersion,
         accounts = accountsOf(datagram),
         waiting = datagram.waiting.mapValues { (_, waiting) ->
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -149,7 +149,13 @@
     private fun newState(listed: ListedEndpoint) = EndpointState(listed).also {
         val now = clock.monotonicMilliseconds()
         // The division between zones depends on the other endpoints.
-        if (zones != null) zones.divide(endpoints.values + it, highestWaitingOrder, now) else divideSlots(listOf(it), now)
+        if (zones !=
+            null
+        ) {
+            zones.divide(endpoints.values + it, highestWaitingOrder, now)
+        } else {
+            divideSlots(listOf(it), now)
+        }
     }
 
     private fun divideSlots(states: Collection<EndpointState>, now: Long) {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/MemoryLimitedChooser.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/MemoryLimitedChooser.kt
@@ -10,10 +10,8 @@
  * @property chooser makes the choice
  * @property capacityTokens returns the tokens that one engine of the pool can hold, or null without a limit
  */
-public class MemoryLimitedChooser(
-    private val chooser: EndpointChooser,
-    private val capacityTokens: () -> Long?,
-) : EndpointChooser {
+public class MemoryLimitedChooser(private val chooser: EndpointChooser, private val capacityTokens: () -> Long?) :
+    EndpointChooser {
     override fun choose(
         request: WaitingRequest,
         candidates: Collection<EndpointState>,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneDemand.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneDemand.kt
@@ -29,12 +29,10 @@
     }
 
     /** Number of gateways other than this one, silent ones included, that have or may have requests in [zone]. */
-    fun competing(zone: String, order: Int): Int =
-        waitingGateways(zone, order) + silent(zone)
+    fun competing(zone: String, order: Int): Int = waitingGateways(zone, order) + silent(zone)
 
     /** Number of gateways outside [zone], this one included, that may want its spare slots for [order]. */
-    fun competingOutside(zone: String, order: Int): Int =
-        waiting.count { !it.isIn(zone) && it.isWaiting(order) } + 1
+    fun competingOutside(zone: String, order: Int): Int = waiting.count { !it.isIn(zone) && it.isWaiting(order) } + 1
 
     /**
      * Whether a gateway of [zone] reports requests of the same or a higher priority than [order] for which its zone has
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -14,7 +14,7 @@
  *
  * Traffic between zones is slower and is charged, yet the endpoints of a zone are sometimes too few. A request leaves
  * its zone if that has no usable endpoint, if it is full and the request has waited for half of its time, or if all its
- * free endpoints are too slow for the objective. It then uses only slots that the callers of the other zone do not need.
+ * free endpoints are too slow for the objective. It then uses only slots that the other zone's callers do not need.
  *
  * @property pool name of the endpoint pool
  * @property zone zone of this gateway
@@ -35,11 +35,7 @@
     private var demandAt = 0L
 
     /** Returns the first of [requests] that may be sent at [now] to one of [endpoints], or null if all should wait. */
-    public fun choose(
-        requests: List<WaitingRequest>,
-        endpoints: Collection<EndpointState>,
-        now: Long,
-    ): ZoneChoice? {
+    public fun choose(requests: List<WaitingRequest>, endpoints: Collection<EndpointState>, now: Long): ZoneChoice? {
         if (requests.isEmpty()) return null
         val slots = ZoneSlots(endpoints, now)
         if (slots.free == 0) return null
