--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -68,14 +68,19 @@
         if (activeReply != null || (isStopping && isWriting)) return
         val limits = acceptor.limits
         val limit = if (head != null) limits.headerTimeoutMilliseconds else limits.idleTimeoutMilliseconds
-        val sinceRead = if (head == null) output.millisecondsWithoutRead() else null
-        val idle = sinceRead ?: (clock.monotonicMilliseconds() - idleSince)
+        val idle = idleMilliseconds()
         val isExpired = idle > limit
         if (head != null && isExpired) return refuse(HttpResponseStatus.REQUEST_TIMEOUT)
         val isUnused = head == null && (hasReadRequest || idle > FIRST_REQUEST_MILLISECONDS)
         if (isExpired || (isStopping && isUnused)) context.close()
     }
 
+    /** Time without a part of a request or, between requests, without reading an answer. */
+    private fun idleMilliseconds(): Long {
+        val sinceRead = if (head == null) output.millisecondsWithoutRead() else null
+        return sinceRead ?: (clock.monotonicMilliseconds() - idleSince)
+    }
+
     private fun closeAfterLingering(since: Long, isStopping: Boolean) {
         val limit = if (isStopping) STOP_LINGER_MILLISECONDS else LINGER_MILLISECONDS
         if (clock.monotonicMilliseconds() - since > limit) context.close()
@@ -165,7 +170,8 @@
         activeReply = reply
         output.requestId = request.headers().get(requestIdHeader).orEmpty()
         head = null
-        val callerRequest = CallerRequest(request.method(), request.uri(), request.headers(), body.take(), headReceivedAt)
+        val callerRequest =
+            CallerRequest(request.method(), request.uri(), request.headers(), body.take(), headReceivedAt)
         val listener = acceptor.accept(callerRequest, reply)
         if (activeReply === reply) reply.listener = listener
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/UnreadOutput.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/UnreadOutput.kt
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Resets the connection: the caller sees that the answer is broken off, and the system releases what it has buffered
-     * for it.
+     * Resets the connection: the caller sees that the answer is broken off, and the system releases what it has
+     * buffered for it.
      */
     fun giveUp() {
         channel.config().setOption(ChannelOption.SO_LINGER, 0)
