--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -22,6 +22,7 @@
 
     /** Answers and phases of rollouts. */
     val rollouts: RolloutMetrics = RolloutMetrics(registry)
+
     /** Counters by client account and route. */
     val accounts: AccountMetrics = AccountMetrics(registry)
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -20,9 +20,7 @@
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
-import org.guavahatch.scheduling.direct.LowestUse
 import org.guavahatch.scheduling.direct.PeerReport
-import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.quarantine.CrashReport
 import org.guavahatch.scheduling.quarantine.PromptParts
 import org.guavahatch.scheduling.quarantine.Quarantine
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/FairWaitingQueue.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/FairWaitingQueue.kt
@@ -95,8 +95,7 @@
             return minOf(limit, lines.values.sumOf { it.requests.countOfHighestPriority(limitOfLine, predicate) })
         }
 
-        fun firstLate(now: Long): WaitingRequest? =
-            lowestLines().firstNotNullOfOrNull { it.requests.firstLate(now) }
+        fun firstLate(now: Long): WaitingRequest? = lowestLines().firstNotNullOfOrNull { it.requests.firstLate(now) }
 
         fun addCandidates(now: Long, candidates: MutableList<WaitingRequest>) {
             candidates += interrupted.candidates(now)
