--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -54,6 +54,7 @@
     private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
     private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve) }
+    private val choice = DispatchChoice(queue, chooser, reserve, zones, returns?.turns, ::routeOf, ::isSendable)
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
@@ -260,60 +261,10 @@
         val candidates = candidates()
         val free = candidates.serving.sumOf { if (it.isUsableAt(now)) it.freeSlotsAt(now) else 0 }
         if (queue.size == 0 || free == 0) return false
-        val sendable = queue.candidates(now).filter { isSendable(it, now) }
-        val choice = chooseInTurn(sendable, candidates, now) ?: if (zones != null) {
-            chooseByZone(zones, sendable, candidates, now)
-        } else {
-            val allowed = sendable.takeWhile { reserve.mayUse(free, slots, it.order, queue.useOf(it)) }
-            choose(allowed, candidates, now) { it }
-        }
-        send(choice ?: return false, now)
+        send(choice.next(candidates, free, slots, now) ?: return false, now)
         return true
     }
 
-    /** Lets a lower order have its small part of the dispatches, in its own zone if zones are preferred. */
-    private fun chooseInTurn(requests: List<WaitingRequest>, candidates: RolloutCandidates, now: Long): ZoneChoice? {
-        val turns = returns?.turns ?: return null
-        val inTurn = turns.candidatesInTurn(requests, now) ?: return null
-        val choice = choose(inTurn, candidates, now) { zones?.ownEndpoints(it) ?: it } ?: return null
-        turns.recordTurn(choice.request.order)
-        return choice
-    }
-
-    private fun choose(
-        requests: List<WaitingRequest>,
-        candidates: RolloutCandidates,
-        now: Long,
-        limit: (Collection<EndpointState>) -> Collection<EndpointState>,
-    ): ZoneChoice? = requests.firstNotNullOfOrNull { request ->
-        val choose = anyZone(request, now)
-        candidates.choose(request, routeOf(request), choose) { choose(limit(it)) }
-    }
-
-    private fun anyZone(request: WaitingRequest, now: Long) = { endpoints: Collection<EndpointState> ->
-        chooser.choose(request, endpoints, now)?.let { ZoneChoice(request, it, reason = null) }
-    }
-
-    /**
-     * A late request may leave its zone at once, so it is tried even behind the first few that are on time. A version
-     * under test may have endpoints in a few zones only, so requests that it is due for go to any zone.
-     */
-    private fun chooseByZone(
-        zones: ZoneRouting,
-        requests: List<WaitingRequest>,
-        candidates: RolloutCandidates,
-        now: Long,
-    ): ZoneChoice? {
-        val late = queue.firstLate(now)?.takeIf { it !in requests && isSendable(it, now) }
-        val tried = requests + listOfNotNull(late)
-        if (!candidates.isLimited) return zones.choose(tried, endpoints.values, now)
-        return tried.firstNotNullOfOrNull { request ->
-            candidates.choose(request, routeOf(request), anyZone(request, now)) {
-                zones.choose(listOf(request), it, now)
-            }
-        }
-    }
-
     private fun routeOf(request: WaitingRequest) = activeRequests.getValue(request.sequence).plan.route.name
 
     private fun isSendable(request: WaitingRequest, now: Long) =
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/RolloutCandidates.kt
@@ -18,13 +18,16 @@
     /** The endpoints that requests of no particular route may use: the capacity that counts. */
     val serving: Collection<EndpointState> get() = of(NO_ROUTE)
 
+    /** All endpoints of the pool. */
+    val all: Collection<EndpointState> get() = endpoints
+
     /** Whether a rollout limits the sends. */
     val isLimited: Boolean get() = tracked != null
 
     /**
      * Lets [choose] choose for [request] of [route]. While the target version is due for the route, its endpoints are
-     * offered first, to [chooseTarget], since a slow version would get too few requests otherwise to be judged. A request
-     * that avoids an endpoint chooses among all.
+     * offered first, to [chooseTarget], since a slow version would get too few requests otherwise to be judged. A
+     * request that avoids an endpoint chooses among all.
      */
     fun <T : Any> choose(
         request: WaitingRequest,
