--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -58,6 +58,7 @@
     private var reviewedAt: Long? = null
     private var ownOpenOnPrevious: Int? = null
     private var recordedPrevious: Set<String> = emptySet()
+    private var listedPrevious: Set<String> = emptySet()
 
     /**
      * Replaces the order by a [newer] one to the same version, with the same counters. Returns false if this is
@@ -83,6 +84,7 @@
     public fun updateEndpoints(listed: Collection<ListedEndpoint>) {
         endpoints.update(listed.filter { it.pool == order.pool })
         canaries.update(endpoints.target, endpoints.previous)
+        if (!phase.isEnd) listedPrevious = listedPrevious + endpoints.previous.mapNotNull { it.version }
     }
 
     /** Sets the number of gateways, including this one, that share the slack. */
@@ -150,14 +152,23 @@
         RolloutPhase.ROLLED_BACK -> false
     }
 
-    /** Whether the next request of [route] may be sent to [endpoint]. Without side effects. */
+    /**
+     * Whether the next request of [route] may be sent to [endpoint]. Without side effects. After the end this only
+     * excludes what was stopped or withdrawn: the replaced versions of a completed rollout, the target of another.
+     */
     public fun mayUse(route: String, endpoint: ListedEndpoint): Boolean = when (phase) {
         RolloutPhase.RUNNING -> !isTarget(endpoint) || isNothingToMove || (isCanary(endpoint) && isTargetDue(route))
         RolloutPhase.PROMOTING -> mayUseWhilePromoting(endpoint)
-        RolloutPhase.COMPLETED -> isTarget(endpoint)
+        RolloutPhase.COMPLETED -> isTarget(endpoint) || isOfLaterVersion(endpoint)
         RolloutPhase.ROLLED_BACK -> !isTarget(endpoint)
     }
 
+    /** Whether [endpoint] has a version that the rollout did not replace: a release without an order came after it. */
+    private fun isOfLaterVersion(endpoint: ListedEndpoint): Boolean {
+        val version = endpoint.version ?: return false
+        return version !in recordedPrevious.ifEmpty { listedPrevious }
+    }
+
     private fun isCanary(endpoint: ListedEndpoint) = endpoint.id in canaries.canaries(elapsed(), times.verdictAfter)
 
     private fun mayUseWhilePromoting(endpoint: ListedEndpoint): Boolean {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -100,26 +100,20 @@
         endpoints: Collection<EndpointState>,
         now: Long,
     ): OtherZoneReason? = when {
-        home == null -> OtherZoneReason.FULL.takeIf { mayLeave(request, slowestAnswerAtHome(endpoints), now) }
+        home == null -> OtherZoneReason.FULL.takeIf { mayLeave(request, now) }
         now >= request.objectiveEndsAt || meetsObjective(request, home, now) -> null
         else -> OtherZoneReason.TOO_SLOW
     }
 
     /**
-     * Whether [request] has waited for its zone until half of the time to its latest useful send is used up.
-     *
-     * @param slowestAnswer milliseconds of an answer of the slowest application at home
+     * Whether [request] has waited for its zone as long as it may. A request without a prompt moves few bytes, so it
+     * leaves at once: waiting would cost its caller more than the way.
      */
-    private fun mayLeave(request: WaitingRequest, slowestAnswer: Double, now: Long): Boolean {
-        if (request.hasAnswerBegun) return true
-        val answerMilliseconds = if (request.promptTokens > 0) 0L else slowestAnswer.toLong()
-        val latestSendAt = minOf(request.latestSendAt, request.objectiveEndsAt - answerMilliseconds)
-        return now - request.arrivedAt >= (latestSendAt - request.arrivedAt) * MAXIMUM_WAIT_SHARE
+    private fun mayLeave(request: WaitingRequest, now: Long): Boolean {
+        if (request.hasAnswerBegun || request.promptTokens == 0L) return true
+        return now - request.arrivedAt >= (request.latestSendAt - request.arrivedAt) * MAXIMUM_WAIT_SHARE
     }
 
-    private fun slowestAnswerAtHome(endpoints: Collection<EndpointState>): Double =
-        endpoints.filter { isHome(it) && !it.isClosed }.maxOfOrNull { it.paceMilliseconds ?: 0.0 } ?: 0.0
-
     private fun meetsObjective(request: WaitingRequest, endpoint: EndpointState, now: Long): Boolean =
         now + expectedFirstEvent(request, endpoint) <= request.objectiveEndsAt
 
@@ -175,9 +169,8 @@
         val highest = queue.highestPriority ?: return null
         val hasFreeSlot = endpoints.any { isHome(it) && !it.isClosed && it.freeSlotsAt(now) > 0 }
         if (hasFreeSlot) return highest.withoutRequests().copy(leaving = 0)
-        val slowestAnswer = slowestAnswerAtHome(endpoints)
         return highest.copy(
-            leaving = queue.countOfHighestPriority(MAXIMUM_LEAVING) { mayLeave(it, slowestAnswer, now) },
+            leaving = queue.countOfHighestPriority(MAXIMUM_LEAVING) { mayLeave(it, now) },
         )
     }
 
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -63,6 +63,17 @@
         return null
     }
 
+    @Test
+    fun `a release after a completed rollout does not leave the pool without endpoints`() {
+        val later = endpoint("later-0", "v3")
+        val completed = rollout().apply { record(COMPLETED) }
+        val startedLater = rollout(isRecentlyStarted = true, listed = listOf(new, later)).apply { record(COMPLETED) }
+        listOf(completed, startedLater).forEach { rollout ->
+            rollout.updateEndpoints(listOf(old, new, later))
+            assertEquals(listOf(false, true, true), listOf(old, new, later).map { rollout.mayUse("r", it) })
+        }
+    }
+
     @Test
     fun `a gateway that hears nobody keeps to its part of the exposure`() = repeat(200) { seed ->
         listOf(true, false).forEach { isRecentlyStarted ->
