--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -128,6 +128,11 @@
         log.flush()
     }
 
+    /** Ends the event loop with all its connections at once. */
+    fun close() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+    }
+
     private fun graceMilliseconds(fraction: Double) =
         (settings.stop.graceSeconds * fraction * MILLISECONDS_PER_SECOND).toLong()
 
