--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -70,7 +70,7 @@
         now: Long,
     ): ZoneChoice? {
         val home = if (mayUseHome(request, slots, demand)) chooseHome(request, endpoints, now) else null
-        val reason = reasonToLeave(request, home, endpoints, now)
+        val reason = reasonToLeave(request, home, now)
         val other = reason?.let {
             chooser.choose(request, endpoints, now) { endpoint ->
                 !isHome(endpoint) &&
@@ -94,12 +94,7 @@
         return demand.waitingBefore(request.order) + reserved < slots.free(zone) + slots.free(NO_ZONE)
     }
 
-    private fun reasonToLeave(
-        request: WaitingRequest,
-        home: EndpointState?,
-        endpoints: Collection<EndpointState>,
-        now: Long,
-    ): OtherZoneReason? = when {
+    private fun reasonToLeave(request: WaitingRequest, home: EndpointState?, now: Long): OtherZoneReason? = when {
         home == null -> OtherZoneReason.FULL.takeIf { mayLeave(request, now) }
         now >= request.objectiveEndsAt || meetsObjective(request, home, now) -> null
         else -> OtherZoneReason.TOO_SLOW
