--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.util.concurrent.ScheduledFuture
 import org.guavahatch.gateway.endpoint.EndpointConnection
 import org.guavahatch.gateway.endpoint.EndpointResponseListener
 import org.guavahatch.gateway.endpoint.EndpointUnreachable
@@ -14,7 +13,6 @@
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.memory.EngineMemory
 import org.guavahatch.scheduling.zone.OtherZoneReason
-import java.util.concurrent.TimeUnit
 
 /** One attempt to run a request on one endpoint, until its response ends. */
 internal class Attempt(
@@ -37,13 +35,8 @@
     private var pendingPrefillTokens = plan.waiting.promptTokens
     private var prefillTokensAtStart = 0L
     private var firstEventAt = 0L
-    private var lastEventAt = 0L
+    private val stallMonitor = StallMonitor(plan.route, context.clock, context.loop, startedAt, ::onSilent)
     private var isAnswering = false
-    private var silentSince = startedAt
-    private var isReadingPaused = false
-    private var stallTimer: ScheduledFuture<*>? = null
-    private var stallCheckDueAt = 0L
-    private var isStallCheckPostponed = false
     private var hasSkipped = false
     private var bufferedBody: ByteBuf = Unpooled.EMPTY_BUFFER
     private var bufferedBytes = 0L
@@ -121,7 +114,7 @@
             put("units", plan.units)
         }
         opened.send(message, plan.id, this)
-        scheduleStallCheck(firstResponseLimit())
+        stallMonitor.start()
     }
 
     /** Ends the attempt, as the deadline has passed or the caller has gone. */
@@ -140,16 +133,13 @@
 
     /** Stops reading, because the caller reads too slowly. The endpoint is not considered silent meanwhile. */
     fun pauseReading() {
-        isReadingPaused = true
+        stallMonitor.pause()
         observation.isPaused = true
         connection?.channel?.config()?.isAutoRead = false
     }
 
     fun resumeReading() {
-        if (isReadingPaused) {
-            isReadingPaused = false
-            silentSince = context.clock.monotonicMilliseconds()
-        }
+        stallMonitor.resume()
         connection?.channel?.config()?.isAutoRead = true
     }
 
@@ -238,10 +228,7 @@
         pendingPrefillTokens = 0
         if (firstEventAt == 0L) firstEventAt = now
         if (now - firstEventAt >= ANSWERING_MILLISECONDS) noteAnswering()
-        val isUninterrupted = lastEventAt != 0L && silentSince == lastEventAt
-        if (isUninterrupted) endpoint.recordPace((now - lastEventAt).toDouble())
-        lastEventAt = now
-        silentSince = now
+        stallMonitor.recordEvent(now)?.let { endpoint.recordPace(it.toDouble()) }
         events++
         if (request.onEvent(event, checkNotNull(response))) connection?.noteProgress()
     }
@@ -278,7 +265,7 @@
     }
 
     private fun onStreamEnd(head: HttpResponse) {
-        observation.onStreamEnd(events, firstEventAt, lastEventAt)
+        observation.onStreamEnd(events, firstEventAt, stallMonitor.lastEventAt)
         finish()
         noteAnswering()
         if (!isResumed) {
@@ -297,49 +284,18 @@
 
     private fun elapsed() = context.clock.monotonicMilliseconds() - startedAt
 
-    private fun firstResponseLimit() = if (plan.route.isStream) {
-        plan.route.targetLatencyMilliseconds * FIRST_EVENT_LATENCY_TARGETS
-    } else {
-        plan.route.timeoutMilliseconds / 2
-    }
-
-    /** Checks after [limit] whether a repeatable request must move to another endpoint because this one is silent. */
-    private fun scheduleStallCheck(limit: Long) {
-        if (!plan.route.isRepeatable) return
-        stallCheckDueAt = context.clock.monotonicMilliseconds() + limit
-        stallTimer = context.loop.schedule(::checkStall, limit, TimeUnit.MILLISECONDS)
-    }
-
-    private fun checkStall() {
-        if (isEnded) return
-        val now = context.clock.monotonicMilliseconds()
-        val pause = maxOf(MINIMUM_STALL_MILLISECONDS, (plan.route.maximumPauseMilliseconds ?: 0) * STALL_PAUSE_MULTIPLE)
-        val limit = if (lastEventAt == 0L) firstResponseLimit() else pause
-        val silence = if (isReadingPaused) 0 else now - silentSince
-        if (silence < limit) {
-            isStallCheckPostponed = false
-            scheduleStallCheck(limit - silence)
-            return
-        }
-        // After a pause of this process, what the endpoint has sent meanwhile is still to be read.
-        if (now - stallCheckDueAt > LATE_CHECK_MILLISECONDS && !isStallCheckPostponed) {
-            isStallCheckPostponed = true
-            scheduleStallCheck(READ_AFTER_PAUSE_MILLISECONDS)
-            return
-        }
-        if (!request.acquireRepeat()) {
-            scheduleStallCheck(limit)
-            return
-        }
+    private fun onSilent(silenceMilliseconds: Long): Boolean {
+        if (!request.acquireRepeat()) return false
         observation.onSilent()
         finish()
         connection?.reset()
-        request.onStalled(endpoint, "silent for $silence ms")
+        request.onStalled(endpoint, "silent for $silenceMilliseconds ms")
+        return true
     }
 
     private fun finish() {
         isEnded = true
-        stallTimer?.cancel(false)
+        stallMonitor.stop()
         updateBufferedBytes(0)
         endpoint.recordEnded(pendingPrefillTokens, heldTokens)
         observation.ignore()
@@ -361,18 +317,5 @@
          */
         const val MAXIMUM_IDLE_AT_MOST_ONCE_MILLISECONDS = 1_000L
         const val MAXIMUM_IDLE_MILLISECONDS = 4_000L
-
-        /** Time to the first event, in latency targets, after which another endpoint is tried. */
-        const val FIRST_EVENT_LATENCY_TARGETS = 2
-
-        /** Time without an event, in multiples of the route's maximum pause, after which another endpoint is tried. */
-        const val STALL_PAUSE_MULTIPLE = 4
-        const val MINIMUM_STALL_MILLISECONDS = 1_000L
-
-        /** Delay of a stall check from which on the process counts as paused. */
-        const val LATE_CHECK_MILLISECONDS = 100L
-
-        /** Longer than the shortest time after which a peer sends lost packets again. */
-        const val READ_AFTER_PAUSE_MILLISECONDS = 300L
     }
 }
