--- a/coordination/src/main/kotlin/org/guavahatch/coordination/http/SingleAttemptClient.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/http/SingleAttemptClient.kt
@@ -29,6 +29,7 @@
                 disableAutomaticRetries()
                 disableRedirectHandling()
                 disableCookieManagement()
+                addExecInterceptorFirst("complete-cancellation", CompleteCancellation)
                 setConnectionManager(
                     PoolingAsyncClientConnectionManagerBuilder.create()
                         .setMaxConnTotal(maximumConnections)
