--- a/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/GatewayProcess.kt
@@ -8,6 +8,7 @@
 import org.guavahatch.gateway.caller.UnreadMonitor
 import org.guavahatch.gateway.control.Admission
 import org.guavahatch.gateway.control.ConfiguredPermissions
+import org.guavahatch.gateway.control.ControlCallHandler
 import org.guavahatch.gateway.control.ControlResponse
 import org.guavahatch.gateway.control.ControlServer
 import org.guavahatch.gateway.control.GatewayState
@@ -41,7 +42,12 @@
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val loop = group.next()
     private val random = Random(incarnation.hashCode() + clock.wallMilliseconds())
-    private val metrics = GatewayMetrics()
+
+    /** Counters of the gateway; platform adapters add theirs. */
+    val metrics: GatewayMetrics = GatewayMetrics()
+
+    /** Handlers of further paths of the control interface, whose requests may wait; set before [start]. */
+    var callHandlers: Map<String, ControlCallHandler> = emptyMap()
 
     /** Log of decisions. */
     val log: DecisionLog = DecisionLog(settings.name, settings.zone)
@@ -104,7 +110,7 @@
             "/configuration" to ::configurationResponse,
             "/rollouts" to ::rolloutsResponse,
         )
-        ControlServer(group, handlers).start(settings.control)
+        ControlServer(group, handlers, callHandlers).start(settings.control)
         PeerExchange(state, loop, clock, log, fetchConfiguration).start(settings.control)
         unread.start()
         callers.start(settings.callers)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -20,6 +20,7 @@
 import org.guavahatch.scheduling.direct.PlannedStop
 import org.guavahatch.scheduling.direct.PoolReturns
 import org.guavahatch.scheduling.direct.QuotaTolerance
+import org.guavahatch.scheduling.direct.RelayReport
 import org.guavahatch.scheduling.direct.RetryAllowance
 import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SlotShares
@@ -83,6 +84,9 @@
     /** Rollouts of versions. */
     val rollouts: RolloutControl = RolloutControl(settings.rollouts, loop, clock, random, log, peers) { clockGaps }
 
+    /** What this gateway tells its peers of the store that it relays, or null if it does not relay. */
+    var relayReport: () -> RelayReport? = { null }
+
     /** Names and control addresses of the registered gateways. */
     var gateways: Map<String, String> = emptyMap()
         private set
@@ -248,6 +252,7 @@
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
             rollouts = if (detail == ReportDetail.LOAD) emptyList() else rollouts.reports(),
             zone = preferredZone.orEmpty(),
+            relay = relayReport(),
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/observation/GatewayMetrics.kt
@@ -18,6 +18,7 @@
     private val skipped = HashMap<String, Counter>()
     private val unexpectedBytes = HashMap<UnexpectedBytes.Place, Counter>()
     private val slowCallers = HashMap<String, Counter>()
+    private val storeCalls = HashMap<String, Counter>()
     private val timers = HashMap<String, Timer>()
 
     /** Answers and phases of rollouts. */
@@ -67,6 +68,11 @@
         Counter.builder("guavahatch.gateway.callers.slow").tag("outcome", outcome).register(registry)
     }.increment()
 
+    /** Counts a call for changes of [table] of the store; [source] is store, or reader if a peer was asked. */
+    fun countStoreCall(table: String, source: String) = storeCalls.getOrPut("$table $source") {
+        Counter.builder("guavahatch.gateway.store.calls").tag("table", table).tag("source", source).register(registry)
+    }.increment()
+
     /** Records the duration of [step] (queue, first-event, total) of a request of [rank]. */
     fun recordDuration(step: String, rank: Int, milliseconds: Long) = timers.getOrPut("$step $rank") {
         Timer.builder("guavahatch.gateway.duration")
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -1,5 +1,7 @@
 package org.guavahatch.gateway.peer
 
+import kotlinx.serialization.EncodeDefault
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
 
@@ -32,7 +34,9 @@
  * that of the send; null if left out
  * @property rollouts rollouts of the sender
  * @property zone zone that the sender prefers; empty if it prefers none
+ * @property relay what the sender relays of the store; left out if it does not relay
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 internal class PeerDatagram(
     @CborLabel(1) val name: String,
@@ -53,6 +57,19 @@
     @CborLabel(16) val rollouts: List<RolloutDatagram> = emptyList(),
     @CborLabel(17) val returns: Map<String, Map<Int, List<Int>>>? = null,
     @CborLabel(18) val zone: String = "",
+    @EncodeDefault(EncodeDefault.Mode.NEVER) @CborLabel(19) val relay: RelayDatagram? = null,
+)
+
+/**
+ * What the sender of a [PeerDatagram] relays of the store.
+ *
+ * @property zone zone of the sender's instance
+ * @property versions version up to which the sender follows each table
+ */
+@Serializable
+internal class RelayDatagram(
+    @CborLabel(1) val zone: String,
+    @CborLabel(2) val versions: Map<String, Long> = emptyMap(),
 )
 
 /**
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -21,6 +21,7 @@
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.PeerReport
+import org.guavahatch.scheduling.direct.RelayReport
 import org.guavahatch.scheduling.quarantine.CrashReport
 import org.guavahatch.scheduling.quarantine.PromptParts
 import org.guavahatch.scheduling.quarantine.Quarantine
@@ -131,6 +132,7 @@
         rollouts = report.rollouts.map(RolloutDatagram::of),
         zone = report.zone,
         returns = report.returns,
+        relay = report.relay?.let { RelayDatagram(it.zone, it.versions) },
     )
 
     private fun read(packet: DatagramPacket) {
@@ -187,6 +189,7 @@
         rollouts = datagram.rollouts.mapNotNull { it.toReport() },
         zone = datagram.zone,
         returns = datagram.returns,
+        relay = datagram.relay?.let { RelayReport(it.zone, it.versions) },
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/settings/GatewaySettings.kt
@@ -46,9 +46,15 @@
  * Settings of the connection to the store.
  *
  * @property address IP address and port
+ * @property readersPerZone number of gateways in each zone that poll the store for all of the zone; with 0, every
+ * gateway polls it for itself
  */
 @Serializable
-data class StoreSettings(val address: String)
+data class StoreSettings(val address: String, val readersPerZone: Int = 0) {
+    init {
+        require(readersPerZone >= 0) { "store.readersPerZone: $readersPerZone; 0 or more is allowed" }
+    }
+}
 
 /**
  * Time limits for applying a configuration.
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -128,6 +128,7 @@
  * @property rollouts what the gateway tells of rollouts
  * @property zone zone that the gateway prefers; empty if it prefers none or is of an older release
  * @property returns planned returns by pool, see [ReturnPlan.report], or null if the message does not include them
+ * @property relay what the gateway tells of the store that it relays, or null if it does not relay
  */
 public data class PeerReport(
     public val name: String,
@@ -142,6 +143,7 @@
     public val rollouts: List<RolloutReport> = emptyList(),
     public val zone: String = "",
     public val returns: Map<String, Map<Int, List<Int>>>? = null,
+    public val relay: RelayReport? = null,
 )
 
 /**
