--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -253,6 +253,7 @@
         val budget = request.headers.get(headers.timeBudget)?.trim()?.toDoubleOrNull()?.toLong()
         val limit = minOf(budget ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
         val promptTokens = tokens?.prompt ?: 0
+        val answerTokens = tokens?.run { estimated ?: output } ?: 0
         val elapsed = budget?.let { repeated.elapsedMilliseconds(route.name, it) } ?: 0
         return WaitingRequest(
             sequence = sequence++,
@@ -266,7 +267,8 @@
             outputTokens = tokens?.output ?: 0,
             estimatedTokens = tokens?.estimated,
             longestPauseMilliseconds = route.maximumPauseMilliseconds,
-            firstEventMilliseconds = pool.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
+            firstEventMilliseconds = pool.forecasts.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
+            transferBytes = request.body.readableBytes() + pool.forecasts.answerBytes(route.name, answerTokens),
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -28,6 +28,7 @@
 import org.guavahatch.scheduling.quarantine.QuarantineReport
 import org.guavahatch.scheduling.rollout.RolloutOrder
 import org.guavahatch.scheduling.rollout.RolloutRecord
+import org.guavahatch.scheduling.zone.ZoneWaitLimit
 import kotlin.random.Random
 
 /**
@@ -304,6 +305,7 @@
             connector,
             stop,
             preferredZone,
+            ZoneWaitLimit(settings.zones.waitMillisecondsPerMegabyte),
             shares,
             if (settings.accounts.plannedReturns) PoolReturns(clock, random) else null,
         )
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -168,7 +168,7 @@
 
     /** The first event of an attempt arrived [milliseconds] after it started. */
     internal fun onFirstEvent(milliseconds: Long) =
-        dispatcher.firstEvents.record(plan.waiting.promptTokens, milliseconds)
+        dispatcher.forecasts.firstEvents.record(plan.waiting.promptTokens, milliseconds)
 
     /** Forwards [event] to the caller; false if the caller already has it. */
     internal fun onEvent(event: StreamEvent, response: HttpResponse): Boolean {
@@ -183,8 +183,8 @@
         return true
     }
 
-    /** An endpoint has answered the request [milliseconds] after it was sent there. */
-    internal fun onAnswered(milliseconds: Long) = dispatcher.recordCompletion(plan, milliseconds)
+    /** An endpoint has answered the request with [bytes] of body [milliseconds] after it was sent there. */
+    internal fun onAnswered(milliseconds: Long, bytes: Long) = dispatcher.recordAnswer(plan, milliseconds, bytes)
 
     /** The stream of the endpoint has ended; [trailer] holds comments after its last event. */
     internal fun onStreamComplete(endpoint: EndpointState, response: HttpResponse, trailer: ByteBuf) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -46,6 +46,7 @@
     private var isStallCheckPostponed = false
     private var hasSkipped = false
     private var bufferedBody: ByteBuf = Unpooled.EMPTY_BUFFER
+    private var answerBytes = 0L
     private var bufferedBytes = 0L
 
     /** The send of the request, or null while it is connecting. */
@@ -202,6 +203,7 @@
 
     override fun onData(data: ByteBuf) {
         if (isEnded) return
+        answerBytes += data.readableBytes()
         if (isStream) splitter.feed(data, ::onEvent) else collect(data)
         if (isEnded) return
         updateBufferedBytes((splitter.remainderBytes + bufferedBody.readableBytes()).toLong())
@@ -271,7 +273,7 @@
         if (isNotRun) return request.onRejected(endpoint, status)
         if (status == HttpResponseStatus.OK) {
             noteAnswering()
-            request.onAnswered(elapsed())
+            request.onAnswered(elapsed(), answerBytes)
             if (plan.waiting.promptTokens == 0L) endpoint.recordPace(elapsed().toDouble())
         }
         request.onResponse(endpoint, head, bufferedBody)
@@ -282,7 +284,7 @@
         finish()
         noteAnswering()
         if (!isResumed) {
-            request.onAnswered(elapsed())
+            request.onAnswered(elapsed(), answerBytes)
             plan.waiting.estimatedTokens?.let { endpoint.recordLength(it, events) }
         }
         request.onStreamComplete(endpoint, head, splitter.takeRemainder())
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -7,12 +7,10 @@
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountShares
-import org.guavahatch.scheduling.direct.CompletionForecast
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.FairWaitingQueue
-import org.guavahatch.scheduling.direct.FirstEventForecast
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
 import org.guavahatch.scheduling.direct.PoolReturns
@@ -26,12 +24,14 @@
 import org.guavahatch.scheduling.direct.WaitingRequest
 import org.guavahatch.scheduling.zone.ZoneChoice
 import org.guavahatch.scheduling.zone.ZoneRouting
+import org.guavahatch.scheduling.zone.ZoneWaitLimit
 import java.util.concurrent.TimeUnit
 
 /**
  * Queues the requests of one endpoint pool and dispatches them to its endpoints.
  *
  * @param preferredZone zone whose endpoints are preferred, or null if requests go to any zone
+ * @param waitLimit limits the wait for the preferred zone
  */
 class PoolDispatcher(
     val name: String,
@@ -44,6 +44,7 @@
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
     preferredZone: String? = null,
+    waitLimit: ZoneWaitLimit = ZoneWaitLimit(),
     private val accounts: AccountShares? = null,
     private val returns: PoolReturns? = null,
 ) {
@@ -51,9 +52,8 @@
     private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
     private val forecast = QueueForecast()
     private val overload = OverloadControl(name, peers, forecast, returns)
-    private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
-    private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve) }
+    private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve, waitLimit) }
     private val choice = DispatchChoice(queue, chooser, reserve, zones, returns?.turns, ::routeOf, ::isSendable)
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
@@ -64,8 +64,8 @@
     private var slotsDividedAt = 0L
     private var slotsDividedFor = Int.MAX_VALUE
 
-    /** Expected time from the send of a request to its first event. */
-    val firstEvents: FirstEventForecast = FirstEventForecast()
+    /** Forecasts from recent answers. */
+    val forecasts: PoolForecasts = PoolForecasts()
 
     /** Rollouts, which limit the sends to some endpoints; null if there are none. */
     var rollouts: RolloutControl? = null
@@ -134,9 +134,9 @@
         open.remove(active)
     }
 
-    /** Records that [plan] was answered [milliseconds] after its send. */
-    fun recordCompletion(plan: RequestPlan, milliseconds: Long) {
-        completions.record(plan.route.name, plan.waiting.outputTokens, milliseconds)
+    /** Records that [plan] was answered with [bytes] of body [milliseconds] after its send. */
+    fun recordAnswer(plan: RequestPlan, milliseconds: Long, bytes: Long) {
+        forecasts.recordAnswer(plan, milliseconds, bytes)
         returns?.recordService(milliseconds)
     }
 
@@ -276,7 +276,7 @@
     private fun isTooLateForStop(active: ActiveRequest, now: Long): Boolean {
         if (!stop.isStopping || active.isContinuation) return false
         val route = active.plan.route
-        val expected = completions.expected(route.name, active.plan.waiting.outputTokens)
+        val expected = forecasts.completionMilliseconds(route.name, active.plan.waiting)
         return !stop.allowsSendAt(now, expected ?: (route.timeoutMilliseconds / UNKNOWN_TIMEOUT_DIVISOR))
     }
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -19,6 +19,7 @@
  * @property firstEventMilliseconds expected time from the send to the first event
  * @property account name of the client account, or [AccountShares.NO_ACCOUNT]
  * @property units units that the quota of the account charges
+ * @property transferBytes bytes of the request and expected bytes of its answer
  */
 public data class WaitingRequest(
     public val sequence: Long,
@@ -35,6 +36,7 @@
     public val firstEventMilliseconds: Long = 0,
     public val account: String = AccountShares.NO_ACCOUNT,
     public val units: Long = 0,
+    public val transferBytes: Long = 0,
 ) {
     /** Latest time of the send that meets the latency objective. */
     public val latestSendAt: Long get() = objectiveEndsAt - firstEventMilliseconds
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -13,8 +13,9 @@
  * Keeps requests in the zone of their gateway as long as its endpoints serve them within their objective.
  *
  * Traffic between zones is slower and is charged, yet the endpoints of a zone are sometimes too few. A request leaves
- * its zone if that has no usable endpoint, if it is full and the request has waited for half of its time, or if all its
- * free endpoints are too slow for the objective. It then uses only slots that the other zone's callers do not need.
+ * its zone if that has no usable endpoint, if it is full and the request has waited as long as its bytes are worth, or
+ * if all its free endpoints are too slow for the objective. It then uses only slots that the other zone's callers do
+ * not need.
  *
  * @property pool name of the endpoint pool
  * @property zone zone of this gateway
@@ -22,6 +23,7 @@
  * @property chooser chooses among the endpoints that a request may use
  * @property shares divides the free slots
  * @property reserve keeps slots for requests of higher priority
+ * @property waitLimit limits the wait for the own zone
  */
 public class ZoneRouting(
     private val pool: String,
@@ -30,6 +32,7 @@
     private val chooser: EndpointChooser,
     private val shares: SlotShares,
     private val reserve: PriorityReserve,
+    private val waitLimit: ZoneWaitLimit = ZoneWaitLimit(),
 ) {
     private var demand: ZoneDemand? = null
     private var demandAt = 0L
@@ -95,20 +98,11 @@
     }
 
     private fun reasonToLeave(request: WaitingRequest, home: EndpointState?, now: Long): OtherZoneReason? = when {
-        home == null -> OtherZoneReason.FULL.takeIf { mayLeave(request, now) }
+        home == null -> OtherZoneReason.FULL.takeIf { waitLimit.isReached(request, now) }
         now >= request.objectiveEndsAt || meetsObjective(request, home, now) -> null
         else -> OtherZoneReason.TOO_SLOW
     }
 
-    /**
-     * Whether [request] has waited for its zone as long as it may. A request without a prompt moves few bytes, so it
-     * leaves at once: waiting would cost its caller more than the way.
-     */
-    private fun mayLeave(request: WaitingRequest, now: Long): Boolean {
-        if (request.hasAnswerBegun || request.promptTokens == 0L) return true
-        return now - request.arrivedAt >= (request.latestSendAt - request.arrivedAt) * MAXIMUM_WAIT_SHARE
-    }
-
     private fun meetsObjective(request: WaitingRequest, endpoint: EndpointState, now: Long): Boolean =
         now + expectedFirstEvent(request, endpoint) <= request.objectiveEndsAt
 
@@ -165,7 +159,7 @@
         val hasFreeSlot = endpoints.any { isHome(it) && !it.isClosed && it.freeSlotsAt(now) > 0 }
         if (hasFreeSlot) return highest.withoutRequests().copy(leaving = 0)
         return highest.copy(
-            leaving = queue.countOfHighestPriority(MAXIMUM_LEAVING) { mayLeave(it, now) },
+            leaving = queue.countOfHighestPriority(MAXIMUM_LEAVING) { waitLimit.isReached(it, now) },
         )
     }
 
@@ -194,12 +188,6 @@
         /** Zone of an endpoint that names none; it is at home everywhere. */
         const val NO_ZONE = ""
 
-        /**
-         * Share of the time until the latest useful send that a request may wait for its own zone. The rest is for
-         * reports that are late, a refused send and a first event that is slower than forecast.
-         */
-        const val MAXIMUM_WAIT_SHARE = 0.5
-
         /** Estimates of equal endpoints differ by less, so requests do not leave because of their noise. */
         const val FASTER_SHARE = 0.75
 
