--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -81,6 +81,10 @@
     public fun isUsableAt(now: Long): Boolean =
         !isClosed && suspendedUntil <= now && fullUntil <= now && pausedUntil <= now
 
+    /** Whether requests of this gateway can be sent to the endpoint at [now] within its share of the slots. */
+    public fun hasOwnSlotAt(now: Long): Boolean =
+        isUsableAt(now) && freeSlotsAt(now) > 0 && ownRequests < ownRequestLimit
+
     /** Records that the endpoint reported [reported] requests at [now], including those of silent gateways. */
     public fun recordReportedRequests(reported: Int, now: Long) {
         reportedOtherRequests = reported - ownRequests
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneChoice.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneChoice.kt
@@ -25,12 +25,15 @@
     /** The zone has no usable endpoint of the pool. */
     NO_ENDPOINT("no-endpoint"),
 
-    /** The zone has no slot for the request, and waiting on would use up its time until its latest useful send. */
+    /** The zone has no slot for the request, and it has waited as long as its bytes are worth. */
     FULL("full"),
 
     /** All endpoints of the zone with a free slot would miss the objective of the request. */
     TOO_SLOW("too-slow"),
 
+    /** All endpoints of the zone with a free slot would make the stream pause for longer than its objective. */
+    PAUSES("pauses"),
+
     /** The stream was interrupted, and its caller waits for the next event. */
     INTERRUPTED("interrupted"),
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/zone/ZoneRouting.kt
@@ -2,6 +2,7 @@
 
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.PauseObjective
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.RequestQueue
@@ -14,8 +15,8 @@
  *
  * Traffic between zones is slower and is charged, yet the endpoints of a zone are sometimes too few. A request leaves
  * its zone if that has no usable endpoint, if it is full and the request has waited as long as its bytes are worth, or
- * if all its free endpoints are too slow for the objective. It then uses only slots that the other zone's callers do
- * not need.
+ * if all its free endpoints are too slow for the objective or make its stream pause for too long. It then uses only
+ * slots that the other zone's callers do not need.
  *
  * @property pool name of the endpoint pool
  * @property zone zone of this gateway
@@ -73,12 +74,12 @@
         now: Long,
     ): ZoneChoice? {
         val home = if (mayUseHome(request, slots, demand)) chooseHome(request, endpoints, now) else null
-        val reason = reasonToLeave(request, home, now)
+        val reason = reasonToLeave(request, home, endpoints, now)
         val other = reason?.let {
             chooser.choose(request, endpoints, now) { endpoint ->
                 !isHome(endpoint) &&
                     hasSpareSlot(endpoint.listed.zone, request.order, slots, demand) &&
-                    (it != OtherZoneReason.TOO_SLOW || isClearlyFaster(request, endpoint, checkNotNull(home), now))
+                    isWorthLeaving(it, request, endpoint, home, now)
             }
         }
         if (other != null) return ZoneChoice(request, other, reason)
@@ -97,10 +98,36 @@
         return demand.waitingBefore(request.order) + reserved < slots.free(zone) + slots.free(NO_ZONE)
     }
 
-    private fun reasonToLeave(request: WaitingRequest, home: EndpointState?, now: Long): OtherZoneReason? = when {
+    private fun reasonToLeave(
+        request: WaitingRequest,
+        home: EndpointState?,
+        endpoints: Collection<EndpointState>,
+        now: Long,
+    ): OtherZoneReason? = when {
+        home == null && isHeldBack(request, endpoints, now) -> OtherZoneReason.PAUSES
         home == null -> OtherZoneReason.FULL.takeIf { waitLimit.isReached(request, now) }
-        now >= request.objectiveEndsAt || meetsObjective(request, home, now) -> null
-        else -> OtherZoneReason.TOO_SLOW
+        now >= request.objectiveEndsAt -> null
+        !meetsObjective(request, home, now) -> OtherZoneReason.TOO_SLOW
+        PauseObjective.isMissed(request, home) -> OtherZoneReason.PAUSES
+        else -> null
+    }
+
+    /** Whether the zone has slots for [request] and none of its endpoints may prefill it now. */
+    private fun isHeldBack(request: WaitingRequest, endpoints: Collection<EndpointState>, now: Long): Boolean {
+        if (request.longestPauseMilliseconds == null) return false
+        return PauseObjective.isHeldBack(request, endpoints.filter { isHome(it) && it.hasOwnSlotAt(now) }, now)
+    }
+
+    private fun isWorthLeaving(
+        reason: OtherZoneReason,
+        request: WaitingRequest,
+        endpoint: EndpointState,
+        home: EndpointState?,
+        now: Long,
+    ): Boolean = when (reason) {
+        OtherZoneReason.TOO_SLOW -> isClearlyFaster(request, endpoint, checkNotNull(home), now)
+        OtherZoneReason.PAUSES -> meetsObjective(request, endpoint, now) && PauseObjective.isMet(request, endpoint)
+        else -> true
     }
 
     private fun meetsObjective(request: WaitingRequest, endpoint: EndpointState, now: Long): Boolean =
