--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -267,6 +267,7 @@
             estimatedTokens = tokens?.estimated,
             longestPauseMilliseconds = route.maximumPauseMilliseconds,
             firstEventMilliseconds = pool.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
+            isRepeated = elapsed > 0,
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/OverloadControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/OverloadControl.kt
@@ -20,11 +20,9 @@
     /**
      * Whether [request] can be served in time, with [ahead] others before it, [aheadOfOrder] of which have its order.
      */
-    fun canServeInTime(request: WaitingRequest, ahead: Int, aheadOfOrder: Int, now: Long): Boolean {
-        val before = returns?.turns?.dispatchesBefore(ahead, aheadOfOrder) ?: ahead
-        return forecast.canDispatchInTime(request, before, now) &&
-            returns?.isTooLate(request, forecast.expectedWait(before, now), now) != true
-    }
+    fun canServeInTime(request: WaitingRequest, ahead: Int, aheadOfOrder: Int, now: Long): Boolean =
+        returns?.canServeInTime(request, forecast, ahead, aheadOfOrder, now)
+            ?: forecast.canDispatchInTime(request, ahead, now)
 
     /** Retry-After advice for [request], rejected with [ahead] others before it in a pool with [slots]. */
     fun retryAfter(request: WaitingRequest, ahead: Int, slots: Int, now: Long): Long =
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -137,7 +137,7 @@
     /** Records that [plan] was answered [milliseconds] after its send. */
     fun recordCompletion(plan: RequestPlan, milliseconds: Long) {
         completions.record(plan.route.name, plan.waiting.outputTokens, milliseconds)
-        returns?.recordService(milliseconds)
+        returns?.recordService(plan.waiting.order, milliseconds)
     }
 
     /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/OrderTurns.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/OrderTurns.kt
@@ -5,8 +5,13 @@
 /**
  * Gives a small part of the dispatches to each lower order that waits, so that none is starved while higher ones keep a
  * pool full.
+ *
+ * A turn of an order whose requests hold their slots for longer than others comes less often, in proportion: a tenth of
+ * the dispatches of an order with answers several times as long would take a third of the pool from higher orders.
+ *
+ * @property serviceOf expected milliseconds for which a request of an order holds a slot, or null for the average order
  */
-public class OrderTurns {
+public class OrderTurns(private val serviceOf: (Int?) -> Double) {
     private val earned = TreeMap<Int, Double>()
     private var dispatchedAt: Long? = null
 
@@ -15,11 +20,11 @@
         dispatchedAt = now
         earned.keys.retainAll(waiting)
         val highest = minOf(order, waiting.minOrNull() ?: return)
-        waiting.filter { it > highest }.forEach(::earn)
+        waiting.filter { it > highest }.forEach { earn(it, order) }
     }
 
     /** Records that a request of this gateway has left the pool while [order] waits for higher ones at peers. */
-    public fun recordRelease(order: Int): Unit = earn(order)
+    public fun recordRelease(order: Int): Unit = earn(order, null)
 
     /**
      * Records that [order] waits at [now] while peers hold back the slots for higher ones; it earns a turn when this
@@ -42,15 +47,20 @@
     }
 
     /**
-     * Number of dispatches after which a request is sent at the latest: [ahead] others go before it, [aheadOfOrder] of
-     * which have its own order.
+     * Number of dispatches after which a request of [order] is sent at the latest: [ahead] others go before it,
+     * [aheadOfOrder] of which have its own order.
      */
-    public fun dispatchesBefore(ahead: Int, aheadOfOrder: Int): Int = minOf(ahead, (aheadOfOrder + 1) * PART)
+    public fun dispatchesBefore(order: Int, ahead: Int, aheadOfOrder: Int): Int =
+        minOf(ahead.toDouble(), (aheadOfOrder + 1) / turnsPerDispatch(order, null)).toInt()
 
-    private fun earn(order: Int) {
-        earned.merge(order, 1.0 / PART) { one, other -> minOf(MAXIMUM_TURNS, one + other) }
+    private fun earn(order: Int, dispatched: Int?) {
+        earned.merge(order, turnsPerDispatch(order, dispatched)) { one, other -> minOf(MAXIMUM_TURNS, one + other) }
     }
 
+    /** The part of a turn that [order] gets with a dispatch of the order [dispatched], or of any order if null. */
+    private fun turnsPerDispatch(order: Int, dispatched: Int?): Double =
+        minOf(1.0, serviceOf(dispatched) / maxOf(1.0, serviceOf(order))) / PART
+
     public companion object {
         /** Every tenth dispatch goes to a lower order. */
         public const val PART: Int = 10
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PoolReturns.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PoolReturns.kt
@@ -13,25 +13,49 @@
     private val arrivals = ArrivalForecast(clock)
     private val rejections = ArrivalForecast(clock)
     private val service = MovingAverage(SERVICE_WEIGHT)
+    private val serviceByOrder = HashMap<Int, MovingAverage>()
 
     /** The planned returns of this gateway and its peers. */
     public val plan: ReturnPlan = ReturnPlan(clock, random)
 
     /** Turns of lower orders. */
-    public val turns: OrderTurns = OrderTurns()
+    public val turns: OrderTurns = OrderTurns(::serviceMilliseconds)
 
-    /** Average milliseconds for which a request holds a slot. */
-    public val serviceMilliseconds: Double get() = service.value ?: DEFAULT_SERVICE_MILLISECONDS
+    /** Average milliseconds for which a request of [order] holds a slot, or any request if null or not yet measured. */
+    public fun serviceMilliseconds(order: Int? = null): Double =
+        serviceByOrder[order]?.value ?: service.value ?: DEFAULT_SERVICE_MILLISECONDS
 
     /** Records the arrival of a request with [order] at this gateway. */
     public fun recordArrival(order: Int): Unit = arrivals.record(order)
 
-    /** Records that a request held a slot for [milliseconds]. */
-    public fun recordService(milliseconds: Long): Unit = service.add(milliseconds.toDouble())
+    /** Records that a request of [order] held a slot for [milliseconds]. */
+    public fun recordService(order: Int, milliseconds: Long) {
+        service.add(milliseconds.toDouble())
+        serviceByOrder.getOrPut(order) { MovingAverage(SERVICE_WEIGHT) }.add(milliseconds.toDouble())
+    }
+
+    /**
+     * Whether [request] is kept waiting, with [ahead] others before it, [aheadOfOrder] of which have its order.
+     *
+     * A repeated request is lost if it is rejected, so it waits until too little time is left to be served, whatever
+     * the [forecast] says: it may be served when those ahead of it give up or are rejected.
+     */
+    public fun canServeInTime(
+        request: WaitingRequest,
+        forecast: QueueForecast,
+        ahead: Int,
+        aheadOfOrder: Int,
+        now: Long,
+    ): Boolean {
+        if (request.isRepeated) return now <= request.patienceEndsAt && !isTooLate(request, 0, now)
+        val before = turns.dispatchesBefore(request.order, ahead, aheadOfOrder)
+        return forecast.canDispatchInTime(request, before, now) &&
+            !isTooLate(request, forecast.expectedWait(before, now), now)
+    }
 
     /** Whether [request], sent after another [wait] ms, would not be answered before its deadline. */
-    public fun isTooLate(request: WaitingRequest, wait: Long, now: Long): Boolean =
-        now + wait + serviceMilliseconds > request.deadline
+    private fun isTooLate(request: WaitingRequest, wait: Long, now: Long): Boolean =
+        now + wait + serviceMilliseconds(request.order) > request.deadline
 
     /**
      * Milliseconds after which the caller of the rejected [request] should return.
@@ -42,7 +66,7 @@
      */
     public fun retryAfter(request: WaitingRequest, slots: Int, waiting: Int, gateways: Int): Long {
         val now = clock.monotonicMilliseconds()
-        val served = slots * MILLISECONDS_PER_SECOND / serviceMilliseconds
+        val served = slots * MILLISECONDS_PER_SECOND / serviceMilliseconds()
         val before = request.order + 1
         val first = arrivals.expectedBefore(before, SECOND) - rejections.expectedBefore(before, SECOND)
         rejections.record(request.order)
@@ -53,13 +77,19 @@
     /** Longest useful wait in milliseconds: callers follow a third of their time, and the answer needs some of it. */
     private fun latestReturn(request: WaitingRequest, now: Long): Long {
         val left = request.deadline - now
-        return maxOf(0, minOf(left / CALLER_DIVISOR, left - (serviceMilliseconds * SERVICE_MARGIN).toLong()))
+        return maxOf(
+            0,
+            minOf(
+                left / CALLER_DIVISOR,
+                left - (serviceMilliseconds(request.order) * SERVICE_MARGIN).toLong(),
+            ),
+        )
     }
 
     /** Longest time in milliseconds without a dispatch of this gateway, a tenth of the pool's shared by [gateways]. */
     public fun longestHold(slots: Int, gateways: Int): Long = maxOf(
         SECOND,
-        (OrderTurns.PART * gateways * serviceMilliseconds / maxOf(1, slots)).toLong(),
+        (OrderTurns.PART * gateways * serviceMilliseconds() / maxOf(1, slots)).toLong(),
     )
 
     private companion object {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -19,6 +19,8 @@
  * @property firstEventMilliseconds expected time from the send to the first event
  * @property account name of the client account, or [AccountShares.NO_ACCOUNT]
  * @property units units that the quota of the account charges
+ * @property isRepeated whether an earlier attempt of the caller was rejected; callers return once, so the request is
+ * lost if it is rejected again
  */
 public data class WaitingRequest(
     public val sequence: Long,
@@ -35,6 +37,7 @@
     public val firstEventMilliseconds: Long = 0,
     public val account: String = AccountShares.NO_ACCOUNT,
     public val units: Long = 0,
+    public val isRepeated: Boolean = false,
 ) {
     /** Latest time of the send that meets the latency objective. */
     public val latestSendAt: Long get() = objectiveEndsAt - firstEventMilliseconds
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/OrderTurnsTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/OrderTurnsTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 class OrderTurnsTest {
-    private val turns = OrderTurns()
+    private val turns = OrderTurns { 1_000.0 }
     private val waiting = listOf(waitingRequest(0, rank = 0), waitingRequest(1, rank = 1), waitingRequest(2, rank = 2))
     private val orders = waiting.map { it.order }
 
