--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -269,6 +269,7 @@
             longestPauseMilliseconds = route.maximumPauseMilliseconds,
             firstEventMilliseconds = pool.forecasts.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
             transferBytes = request.body.readableBytes() + pool.forecasts.answerBytes(route.name, answerTokens),
+            isRepeated = elapsed > 0,
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -137,7 +137,7 @@
     /** Records that [plan] was answered with [bytes] of body [milliseconds] after its send. */
     fun recordAnswer(plan: RequestPlan, milliseconds: Long, bytes: Long) {
         forecasts.recordAnswer(plan, milliseconds, bytes)
-        returns?.recordService(milliseconds)
+        returns?.recordService(plan.waiting.order, milliseconds)
     }
 
     /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/WaitingRequest.kt
@@ -20,6 +20,8 @@
  * @property account name of the client account, or [AccountShares.NO_ACCOUNT]
  * @property units units that the quota of the account charges
  * @property transferBytes bytes of the request and expected bytes of its answer
+ * @property isRepeated whether an earlier attempt of the caller was rejected; callers return once, so the request is
+ * lost if it is rejected again
  */
 public data class WaitingRequest(
     public val sequence: Long,
@@ -37,6 +39,7 @@
     public val account: String = AccountShares.NO_ACCOUNT,
     public val units: Long = 0,
     public val transferBytes: Long = 0,
+    public val isRepeated: Boolean = false,
 ) {
     /** Latest time of the send that meets the latency objective. */
     public val latestSendAt: Long get() = objectiveEndsAt - firstEventMilliseconds
