--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
@@ -1,5 +1,7 @@
 package org.guavahatch.scheduling.rollout
 
+import kotlin.math.ceil
+
 /**
  * Bad answers of both sides, of one route in one slice of time.
  *
@@ -9,6 +11,7 @@
  * @property previous answers of the old side
  * @property previousBad bad ones among them
  * @property isSimultaneous whether the answers of the old side are of the same time
+ * @property previousTotalRate rate of bad answers of the old side on the route over the whole rollout
  */
 internal class Stratum(
     val slice: Int,
@@ -17,7 +20,15 @@
     val previous: Long,
     val previousBad: Long,
     val isSimultaneous: Boolean,
-)
+    val previousTotalRate: Double,
+) {
+    /**
+     * Chance of a bad answer if both versions are equal. Short disturbances of single endpoints hit both sides at
+     * different times, so it is at least the rate of the old side over the whole rollout.
+     */
+    val commonChance: Double
+        get() = maxOf((targetBad + previousBad).toDouble() / (target + previous), previousTotalRate)
+}
 
 /** Tests whether bad answers are more frequent at the target version than on the old side, within each of [strata]. */
 internal class RateComparison(strata: List<Stratum>) {
@@ -35,8 +46,9 @@
     /**
      * Whether the difference is at least [leastEffect] and its chance is below exp([logChance]) for equal versions.
      *
-     * The crash or short disturbance of one endpoint makes many answers bad at once. So with few bad answers the
-     * difference must also persist without the two slices that have most of them.
+     * The crash or short disturbance of one endpoint makes many answers bad at once, and only few endpoints of the
+     * target version get requests. So with few bad answers the difference must also persist without the slices that
+     * have most of them.
      */
     fun isWorse(leastEffect: Double, logChance: Double): Boolean {
         if (!isDifferent(leastEffect, logChance)) return false
@@ -45,15 +57,15 @@
 
     private fun withoutWorstSlices(): RateComparison {
         val badBySlice = strata.groupBy { it.slice }.mapValues { (_, list) -> list.sumOf { it.targetBad } }
-        val worst = badBySlice.entries.sortedByDescending { it.value }.take(DISTURBED_SLICES).map { it.key }
+        val disturbed = maxOf(DISTURBED_SLICES, ceil(badBySlice.size * DISTURBED_SHARE).toInt())
+        val worst = badBySlice.entries.sortedByDescending { it.value }.take(disturbed).map { it.key }
         return RateComparison(strata.filter { it.slice !in worst })
     }
 
     private fun isDifferent(leastEffect: Double, logChance: Double): Boolean {
         if (answers == 0L || targetRate - previousRate < requiredEffect(leastEffect)) return false
         val groups = strata.map { stratum ->
-            val all = stratum.target + stratum.previous
-            Trials(stratum.target.toDouble(), (stratum.targetBad + stratum.previousBad).toDouble() / all)
+            Trials(stratum.target.toDouble(), stratum.commonChance)
         }
         return TailProbability.logUpperTail(groups, bad.toDouble()) < logChance
     }
@@ -74,10 +86,17 @@
         /** From the 50th bad answer on, the time allowed for a rollback runs. */
         const val URGENT_BAD_ANSWERS = 50L
 
-        /** A disturbance of less than a second falls into two slices. */
-        const val DISTURBED_SLICES = 2
+        /**
+         * A disturbance of less than a second falls into two slices. With few endpoints under test, two or three such
+         * disturbances may follow each other, so a third of the slices counts as disturbed, and three at least.
+         */
+        const val DISTURBED_SLICES = 3
+        const val DISTURBED_SHARE = 1.0 / 3
 
-        /** Natural logarithm of 1 in 100; the chance of a wrong verdict is bounded by the first test already. */
-        const val PERSISTENT_LOG_CHANCE = -4.6
+        /**
+         * Natural logarithm of 1 in 8,000. The rest of a disturbance is a few failures among as few answers: 4 of 7 has
+         * about exp(-5) when an old version fails at 9 in 100.
+         */
+        const val PERSISTENT_LOG_CHANCE = -9.0
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
@@ -95,13 +95,14 @@
         val (target, targetBad) = countsOf(targetCounts)
         val key = EvidenceKey(route, isTarget = false)
         val (previous, previousBad) = evidence.slices[slice][key]?.let { countsOf(it) } ?: (0L to 0L)
-        if (previous * 2 >=
-            target
-        ) {
-            return Stratum(slice, target, targetBad, previous, previousBad, isSimultaneous = true)
+        val (all, allBad) = evidence.total[key]?.let { countsOf(it) } ?: (0L to 0L)
+        val totalRate = if (all == 0L) 0.0 else allBad.toDouble() / all
+        return when {
+            previous * 2 >= target ->
+                Stratum(slice, target, targetBad, previous, previousBad, isSimultaneous = true, totalRate)
+            all > 0 -> Stratum(slice, target, targetBad, all, allBad, isSimultaneous = false, totalRate)
+            else -> null
         }
-        val (all, allBad) = evidence.total[key]?.let { countsOf(it) } ?: return null
-        return Stratum(slice, target, targetBad, all, allBad, isSimultaneous = false)
     }
 
     private companion object {
