--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/ExposureLimit.kt
@@ -49,8 +49,12 @@
         return targetSends + 1 + kept <= share * sends + slackPart + (if (isRecentlyStarted) 0.0 else offset)
     }
 
-    private fun missing(route: RouteSends) =
-        share * route.sends + slackPart * route.sends / sends + route.offset - route.targetSends
+    private fun missing(route: RouteSends): Double {
+        // A route with little traffic gets more than its share, or the verdict would rest on a few answers of it.
+        val equalPart = sends.toDouble() / routes.size
+        val counted = maxOf(route.sends.toDouble(), minOf(RARE_ROUTE_FACTOR * route.sends, equalPart))
+        return share * counted + slackPart * counted / sends + route.offset - route.targetSends
+    }
 
     private val share get() = limits.exposureShare * USED_SHARE
 
@@ -69,6 +73,9 @@
         /** The limit is a share of requests, but sends are counted; the rest covers retries. */
         const val USED_SHARE = 0.8
 
+        /** The callers of a route with little traffic meet a bad version at most this often, compared with others. */
+        const val RARE_ROUTE_FACTOR = 2.0
+
         /** The other half of the slack covers the random rounding and requests that are sent when a verdict falls. */
         const val USED_SLACK = 0.5
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -261,7 +261,8 @@
     private fun decideRunning(evidence: RolloutJudge.Evidence): RolloutTransition? {
         if (elapsed() < times.verdictAfter) return null
         val answers = evidence.targetAnswers
-        val suspicion = judge.findSuspicion(evidence)
+        val waited = (elapsed() - times.verdictAfter).toDouble() / (times.endAfter - times.verdictAfter)
+        val suspicion = judge.findSuspicion(evidence, waited)
         val figures = "$answers answers of the target" + suspicion?.let { "; ${it.reason}, ${it.evidence}" }.orEmpty()
         val isGood = answers >= LEAST_ANSWERS && suspicion == null && endpoints.target.isNotEmpty()
         return when {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
@@ -28,6 +28,10 @@
      */
     val commonChance: Double
         get() = maxOf((targetBad + previousBad).toDouble() / (target + previous), previousTotalRate)
+
+    /** The same with at most [limit] bad answers of the target. */
+    fun withBadAtMost(limit: Long): Stratum =
+        Stratum(slice, target, minOf(targetBad, limit), previous, previousBad, isSimultaneous, previousTotalRate)
 }
 
 /** Tests whether bad answers are more frequent at the target version than on the old side, within each of [strata]. */
@@ -55,6 +59,23 @@
         return bad >= URGENT_BAD_ANSWERS || withoutWorstSlices().isDifferent(leastEffect, PERSISTENT_LOG_CHANCE)
     }
 
+    /**
+     * Whether the target version [isWorse], or would be different with only [DOUBTFUL_BAD_ANSWERS] of the bad answers
+     * of each slice. On a route with little traffic, the slices with most bad answers have nearly all of them.
+     */
+    fun isDoubtful(leastEffect: Double, logChance: Double): Boolean =
+        isWorse(leastEffect, logChance) || withCappedSlices().isDifferent(leastEffect, logChance)
+
+    private fun withCappedSlices(): RateComparison {
+        val left = HashMap<Int, Long>()
+        return RateComparison(
+            strata.map { stratum ->
+                val limit = left.getOrDefault(stratum.slice, DOUBTFUL_BAD_ANSWERS)
+                stratum.withBadAtMost(limit).also { left[stratum.slice] = limit - it.targetBad }
+            },
+        )
+    }
+
     private fun withoutWorstSlices(): RateComparison {
         val badBySlice = strata.groupBy { it.slice }.mapValues { (_, list) -> list.sumOf { it.targetBad } }
         val disturbed = maxOf(DISTURBED_SLICES, ceil(badBySlice.size * DISTURBED_SHARE).toInt())
@@ -98,5 +119,8 @@
          * about exp(-5) when an old version fails at 9 in 100.
          */
         const val PERSISTENT_LOG_CHANCE = -9.0
+
+        /** Short disturbances of a few endpoints stay below the required effect with this many. */
+        const val DOUBTFUL_BAD_ANSWERS = 3L
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
@@ -2,6 +2,7 @@
 
 import org.guavahatch.scheduling.rollout.CountVector.Histogram
 import kotlin.math.ln
+import kotlin.math.pow
 
 /**
  * Judges the target version by the answers of all gateways.
@@ -30,26 +31,36 @@
     }
 
     /** Returns why the target version is bad, or null. Wrong once in 1,000 rollouts of good versions at most. */
-    fun findBad(evidence: Evidence): Finding? = find(evidence, WRONG_VERDICTS / looks)
+    fun findBad(evidence: Evidence): Finding? = find(evidence, WRONG_VERDICTS / looks, RateComparison::isWorse)
 
-    /** Returns what makes the target version too doubtful for promotion, or null. */
-    fun findSuspicion(evidence: Evidence): Finding? = find(evidence, WRONG_VERDICTS)
+    /**
+     * Returns what makes the target version too doubtful for promotion, or null.
+     *
+     * The promotion of a bad version cannot be made good, while a good version that looks doubtful only waits for more
+     * answers. So the level falls from [FIRST_DOUBT] to [WRONG_VERDICTS] with the share [waited], 0 to 1, of the time
+     * that is left.
+     */
+    fun findSuspicion(evidence: Evidence, waited: Double): Finding? {
+        val chance = FIRST_DOUBT * (WRONG_VERDICTS / FIRST_DOUBT).pow(waited.coerceIn(0.0, 1.0))
+        return find(evidence, chance, RateComparison::isDoubtful)
+    }
 
-    private fun find(evidence: Evidence, chance: Double): Finding? {
+    private fun find(evidence: Evidence, chance: Double, test: (RateComparison, Double, Double) -> Boolean): Finding? {
         val logChance = ln(chance / ((evidence.routes.size + 1) * MEASURES * WINDOWS.size))
-        return findFailures(evidence, logChance)
-            ?: Histogram.entries.firstNotNullOfOrNull { findSlowness(evidence, it, logChance) }
+        val isFound: Criterion = { leastEffect -> test(this, leastEffect, logChance) }
+        return findFailures(evidence, isFound)
+            ?: Histogram.entries.firstNotNullOfOrNull { findSlowness(evidence, it, isFound) }
     }
 
-    private fun findFailures(evidence: Evidence, logChance: Double): Finding? {
+    private fun findFailures(evidence: Evidence, isFound: Criterion): Finding? {
         val strata = strataOf(evidence) { slice, route ->
             stratum(evidence, slice, route) { it.answers to it.failures + it.lost }
         }
-        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, FAILURE_EFFECT, logChance) }
+        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, FAILURE_EFFECT, isFound) }
             ?.let { Finding("failures", it) }
     }
 
-    private fun findSlowness(evidence: Evidence, histogram: Histogram, logChance: Double): Finding? {
+    private fun findSlowness(evidence: Evidence, histogram: Histogram, isFound: Criterion): Finding? {
         val bounds = evidence.routes.associateWith { route ->
             evidence.total[EvidenceKey(route, isTarget = false)]
                 ?.let { SlownessBound.lastBucket(it, histogram, evidence.previousEndpoints) }
@@ -57,7 +68,7 @@
         val strata = strataOf(evidence) { slice, route ->
             bounds[route]?.let { slow(evidence, slice, route, histogram, it) }
         }
-        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, SLOWNESS_EFFECT, logChance) }
+        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, SLOWNESS_EFFECT, isFound) }
             ?.let { Finding("slow", "$histogram, $it") }
     }
 
@@ -69,13 +80,13 @@
         strata: Map<String, List<Stratum?>>,
         window: Int,
         leastEffect: Double,
-        logChance: Double,
+        isFound: Criterion,
     ): String? {
         val recent = strata.mapValues { it.value.takeLast(window).filterNotNull() }
         val groups = recent.map { (route, list) -> "route $route" to list } + ("all routes" to recent.values.flatten())
         return groups.firstNotNullOfOrNull { (name, list) ->
             val comparison = RateComparison(list)
-            if (comparison.isWorse(leastEffect, logChance)) "$name: ${comparison.describe()}" else null
+            if (comparison.isFound(leastEffect)) "$name: ${comparison.describe()}" else null
         }
     }
 
@@ -112,6 +123,9 @@
         const val WRONG_VERDICTS = 0.0005
         const val MEASURES = 3
 
+        /** A good version in five may wait for more answers, as a doubt ends with them. */
+        const val FIRST_DOUBT = 0.2
+
         /** Numbers of latest slices that are judged together. */
         val WINDOWS = listOf(2, 4, 8, 16, Int.MAX_VALUE)
 
@@ -122,3 +136,6 @@
         const val SLOWNESS_EFFECT = 0.1
     }
 }
+
+/** Whether a comparison is a finding if bad answers must be more frequent by the given effect. */
+private typealias Criterion = RateComparison.(Double) -> Boolean
