--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -59,6 +59,7 @@
     private var ownOpenOnPrevious: Int? = null
     private var recordedPrevious: Set<String> = emptySet()
     private var listedPrevious: Set<String> = emptySet()
+    private var replacedVersions: Set<String> = emptySet()
 
     /**
      * Replaces the order by a [newer] one to the same version, with the same counters. Returns false if this is
@@ -85,6 +86,13 @@
         endpoints.update(listed.filter { it.pool == order.pool })
         canaries.update(endpoints.target, endpoints.previous)
         if (!phase.isEnd) listedPrevious = listedPrevious + endpoints.previous.mapNotNull { it.version }
+        noteReplacedVersions()
+    }
+
+    /** The record names only the versions that its writer knew, and a version may come after it was written. */
+    private fun noteReplacedVersions() {
+        if (!knowsPhase || phase.isEnd) return
+        replacedVersions = replacedVersions + endpoints.previous.mapNotNull { it.version }
     }
 
     /** Sets the number of gateways, including this one, that share the slack. */
@@ -108,6 +116,7 @@
         val isAhead = record.phase == RolloutPhase.PROMOTING && phase == RolloutPhase.RUNNING
         if (record.phase != phase && (record.phase.isEnd || isAhead)) enter(record.phase, FROM_RECORD)
         isEndStored = record.phase.isEnd
+        noteReplacedVersions()
     }
 
     /** Notes that the process did not run for some time, so that what it knows may be out of date. */
@@ -136,6 +145,7 @@
         knowsPhase = true
         // Of two ends that are heard, the first one stays until the record tells which one stands.
         if (!phase.isEnd && report.phase > phase) enter(report.phase, report.reason)
+        noteReplacedVersions()
     }
 
     /** Whether [endpoint] has the target version. */
@@ -166,7 +176,7 @@
     /** Whether [endpoint] has a version that the rollout did not replace: a release without an order came after it. */
     private fun isOfLaterVersion(endpoint: ListedEndpoint): Boolean {
         val version = endpoint.version ?: return false
-        return version !in recordedPrevious.ifEmpty { listedPrevious }
+        return version !in replacedVersions && version !in recordedPrevious.ifEmpty { listedPrevious }
     }
 
     private fun isCanary(endpoint: ListedEndpoint) = endpoint.id in canaries.canaries(elapsed(), times.verdictAfter)
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -74,6 +74,15 @@
         }
     }
 
+    @Test
+    fun `a version that was listed beside the target gets nothing after the end, though the record does not name it`() {
+        val rollout = rollout().apply { record() }
+        val other = endpoint("other-0", "v0")
+        rollout.updateEndpoints(listOf(old, new, other))
+        rollout.peer(COMPLETED)
+        assertEquals(listOf(false, true, false), listOf(old, new, other).map { rollout.mayUse("r", it) })
+    }
+
     @Test
     fun `a gateway that hears nobody keeps to its part of the exposure`() = repeat(200) { seed ->
         listOf(true, false).forEach { isRecentlyStarted ->
