--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -12,6 +12,7 @@
 import org.guavahatch.scheduling.rollout.RolloutAnswer
 import org.guavahatch.scheduling.rollout.RolloutLimits
 import org.guavahatch.scheduling.rollout.RolloutOrder
+import org.guavahatch.scheduling.rollout.RolloutPhase
 import org.guavahatch.scheduling.rollout.RolloutRecord
 import org.guavahatch.scheduling.rollout.RolloutReport
 import java.util.concurrent.TimeUnit
@@ -91,6 +92,7 @@
         if (previous != null) current.withdrawn = previous.withdrawnFor(order.targetVersion)
         tracked[order.pool] = current
         current.changedAt = clock.monotonicMilliseconds()
+        current.promotionStoredAt = null
         current.loggedPhase = current.rollout.phase
         log.write("rollout.begun") {
             put("pool", order.pool)
@@ -132,6 +134,9 @@
         if (record == null || record.order.revision < order.revision) return save(current)
         withdraw(current, withdrawn)
         current.rollout.onRecord(record, elapsedMilliseconds)
+        if (record.phase >= RolloutPhase.PROMOTING && current.promotionStoredAt == null) {
+            current.promotionStoredAt = clock.monotonicMilliseconds()
+        }
         notePhase(current, "store")
         if (!record.phase.isEnd && record.phase != current.rollout.phase) save(current)
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
@@ -25,6 +25,9 @@
     /** Time of the last change of phase. */
     var changedAt: Long = 0
 
+    /** Time at which the store was first seen to hold the promotion or a later phase; null before. */
+    var promotionStoredAt: Long? = null
+
     /** Time of the last read of the record. */
     var readAt: Long = 0
 
@@ -43,11 +46,12 @@
 
     /**
      * Requests of peers that are open, or may still be sent, on endpoints of the old side. A peer that has not reported
-     * the promotion may still send one; a silent peer reads the record within [READ_MILLISECONDS].
+     * the promotion may still send one; a silent peer reads the record within [READ_MILLISECONDS] after it was written.
      */
     fun peersOpenOnPrevious(peers: PeerTable, now: Long): Int {
         val heard = peers.freshReports().sumOf { openOnPrevious(it.name) }
-        val isSilentPeerInformed = now - changedAt >= READ_MILLISECONDS + READ_MARGIN_MILLISECONDS
+        val isSilentPeerInformed =
+            promotionStoredAt?.let { now - it >= READ_MILLISECONDS + READ_MARGIN_MILLISECONDS } == true
         return heard + if (isSilentPeerInformed) 0 else peers.silentCount
     }
 
