--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -100,6 +100,24 @@
         }
     }
 
+    @Test
+    fun `a route with little traffic gets more than its share, within the limit of the pool`() {
+        val rollout = rollout().apply { record() }
+        val random = Random(1)
+        val sends = HashMap<String, Int>()
+        val target = HashMap<String, Int>()
+        repeat(10_000) {
+            val route = "aaaaabbbcc"[random.nextInt(10)].toString()
+            val endpoint = if (rollout.mayUse(route, new)) new else old
+            sends.merge(route, 1, Int::plus)
+            if (endpoint == new) target.merge(route, 1, Int::plus)
+            rollout.recordSend(route, endpoint)
+        }
+        assertTrue(target.values.sum() <= 0.08 * 10_000 + 25 / 5 + 1, "$target")
+        val shares = sends.keys.sorted().map { target.getValue(it).toDouble() / sends.getValue(it) }
+        assertTrue(shares[0] > 0.065 && shares[2] > 0.1 && shares[2] < 0.16, "$shares")
+    }
+
     @Test
     fun `a request whose share is due keeps the old side, and asking changes nothing`() {
         val rollout = rollout().apply { record() }
