--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -74,6 +74,15 @@
         }
     }
 
+    @Test
+    fun `a version that was listed beside the target gets nothing after the end, though the record does not name it`() {
+        val rollout = rollout().apply { record() }
+        val other = endpoint("other-0", "v0")
+        rollout.updateEndpoints(listOf(old, new, other))
+        rollout.peer(COMPLETED)
+        assertEquals(listOf(false, true, false), listOf(old, new, other).map { rollout.mayUse("r", it) })
+    }
+
     @Test
     fun `a gateway that hears nobody keeps to its part of the exposure`() = repeat(200) { seed ->
         listOf(true, false).forEach { isRecentlyStarted ->
@@ -91,6 +100,24 @@
         }
     }
 
+    @Test
+    fun `a route with little traffic gets more than its share, within the limit of the pool`() {
+        val rollout = rollout().apply { record() }
+        val random = Random(1)
+        val sends = HashMap<String, Int>()
+        val target = HashMap<String, Int>()
+        repeat(10_000) {
+            val route = "aaaaabbbcc"[random.nextInt(10)].toString()
+            val endpoint = if (rollout.mayUse(route, new)) new else old
+            sends.merge(route, 1, Int::plus)
+            if (endpoint == new) target.merge(route, 1, Int::plus)
+            rollout.recordSend(route, endpoint)
+        }
+        assertTrue(target.values.sum() <= 0.08 * 10_000 + 25 / 5 + 1, "$target")
+        val shares = sends.keys.sorted().map { target.getValue(it).toDouble() / sends.getValue(it) }
+        assertTrue(shares[0] > 0.065 && shares[2] > 0.1 && shares[2] < 0.16, "$shares")
+    }
+
     @Test
     fun `a request whose share is due keeps the old side, and asking changes nothing`() {
         val rollout = rollout().apply { record() }
