--- a/coordination/src/main/kotlin/org/guavahatch/coordination/relay/ReaderSelection.kt
+++ b/coordination/src/main/kotlin/org/guavahatch/coordination/relay/ReaderSelection.kt
@@ -11,11 +11,7 @@
  * @property zone zone of its instance
  * @property versions version up to which it follows each table
  */
-public data class RelayPeer(
-    public val name: String,
-    public val zone: String,
-    public val versions: Map<String, Long>,
-)
+public data class RelayPeer(public val name: String, public val zone: String, public val versions: Map<String, Long>)
 
 /** Source of the next poll of a table. */
 public sealed interface PollSource {
