--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/CallerConnection.kt
@@ -216,7 +216,8 @@
     private fun finish(reply: Reply, isKeptOpen: Boolean) {
         activeReply = null
         idleSince = clock.monotonicMilliseconds()
-        if (!isKeptOpen) {
+        // The caller may have been disconnected by the write of this response; its next requests must not run.
+        if (!isKeptOpen || !context.channel().isOpen) {
             isClosing = true
             return
         }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/UnreadMonitor.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/UnreadMonitor.kt
@@ -8,8 +8,8 @@
 import java.util.concurrent.TimeUnit
 
 /**
- * Checks regularly which callers have not read their answers, and disconnects those that [UnreadAnswers] gives up. All
- * calls must come on the event loop's thread.
+ * Checks which callers have not read their answers, regularly and when their bytes pass the bound, and disconnects
+ * those that [UnreadAnswers] gives up. All calls must come on the event loop's thread.
  *
  * @property loop event loop of all connections
  */
@@ -22,7 +22,6 @@
 ) {
     internal val answers = UnreadAnswers<UnreadOutput>(clock, maximumBytes)
     private val logged = HashSet<UnreadOutput>()
-    private var isCheckScheduled = false
 
     /** Bytes that all callers have not read. */
     val unreadBytes: Long get() = answers.totalBytes
@@ -32,14 +31,12 @@
         loop.scheduleWithFixedDelay(::check, CHECK_MILLISECONDS, CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
     }
 
-    /** Checks at the next turn of the event loop. */
-    internal fun checkSoon() {
-        if (isCheckScheduled) return
-        isCheckScheduled = true
-        loop.execute {
-            isCheckScheduled = false
-            check()
-        }
+    /**
+     * Checks at once if the bytes have exceeded the budget too far. In the same turn of the event loop the answers of
+     * many other callers may be written, so a check at the next turn would come too late.
+     */
+    internal fun onWritten() {
+        if (answers.isExceeded) check()
     }
 
     /** Whether the answer of [output] may be read on. */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/caller/UnreadOutput.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/caller/UnreadOutput.kt
@@ -53,7 +53,7 @@
 
     private fun noteWritten() {
         report()
-        if (monitor.answers.isExceeded) monitor.checkSoon()
+        monitor.onWritten()
     }
 
     private fun report() {
@@ -74,15 +74,19 @@
     /** The connection has ended. */
     fun close() {
         isBehind = false
+        isPaused = false
         monitor.answers.remove(this)
     }
 
     /**
      * Resets the connection: the caller sees that the answer is broken off, and the system releases what it has
-     * buffered for it.
+     * buffered for it. May be called while the answer is being written.
      */
     fun giveUp() {
+        // The answer must not be read on when the connection releases its data.
+        isPaused = false
         channel.config().setOption(ChannelOption.SO_LINGER, 0)
         channel.close()
+        close()
     }
 }
