--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -178,8 +178,10 @@
             raise(Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, ActiveRequest.QUARANTINED, hold))
         }
         val pool = choosePool(route)
-        ensure(state.pool(pool).waitingRequests < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
         val tokens = tokenCount(request)
+        ensure(state.pool(pool).waitingRequests < settings.maximumWaiting) {
+            queueFull(state.pool(pool)) { waitingRequest(request, route, it, account, tokens) }
+        }
         val units = charge(account, tokens, route, state.pool(pool).hasSpareCapacity).bind()
         RequestPlan(
             id,
@@ -194,6 +196,19 @@
         )
     }
 
+    private fun queueFull(pool: PoolDispatcher, waitingRequest: (PoolDispatcher) -> WaitingRequest): Refusal {
+        val planned = pool.planReturnOfRefused { waitingRequest(pool) }
+        return Refusal.unavailable("queue-full").let {
+            if (planned ==
+                null
+            ) {
+                it
+            } else {
+                it.copy(retryAfterMilliseconds = planned)
+            }
+        }
+    }
+
     private fun route(
         configuration: ForwardingConfiguration,
         request: CallerRequest,
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -60,6 +60,12 @@
         }
     }
 
+    /** Ends the request because no endpoint took it; if it has not run, its caller returns as planned for the pool. */
+    private fun refuseForReturn(reason: String) {
+        val planned = if (history.isNotRun && !history.hasAnswerBegun) dispatcher.planReturn(plan.waiting) else null
+        refuse(reason, planned ?: RETRY_AFTER_MILLISECONDS)
+    }
+
     /** The endpoint could not be reached; nothing was sent. */
     internal fun onUnreachable(endpoint: EndpointState, reason: String) {
         history.recordUnreachable()
@@ -69,7 +75,7 @@
             put("endpoint", endpoint.listed.id)
             put("reason", reason)
         }
-        if (history.mayTryAnotherEndpoint) requeue() else refuse("unreachable", RETRY_AFTER_MILLISECONDS)
+        if (history.mayTryAnotherEndpoint) requeue() else refuseForReturn("unreachable")
     }
 
     /** Numbers of the connections on which the request was sent. */
@@ -95,7 +101,7 @@
             put("retried", isRetried)
             putTrace(trace, now)
         }
-        if (isRetried) requeue() else refuse("rejected", RETRY_AFTER_MILLISECONDS)
+        if (isRetried) requeue() else refuseForReturn("rejected")
     }
 
     /** The connection to the endpoint failed, or its response cannot be read, before the response was complete. */
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -143,6 +143,13 @@
     /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
     fun planReturn(request: WaitingRequest): Long? = overload.plannedReturn(request, queue.size, slots)
 
+    /** As [planReturn], for the [request] of a caller whose request is not queued; made only if returns are planned. */
+    fun planReturnOfRefused(request: () -> WaitingRequest): Long? = returns?.let {
+        val refused = request()
+        it.recordArrival(refused.order)
+        planReturn(refused)
+    }
+
     /** Applies the planned returns that [peer] reports. */
     fun recordPeerReturns(peer: String, planned: Map<Int, List<Int>>) {
         returns?.plan?.recordPeer(peer, planned)
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/OrderTurns.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/OrderTurns.kt
@@ -8,16 +8,22 @@
  *
  * A turn of an order whose requests hold their slots for longer than others comes less often, in proportion: a tenth of
  * the dispatches of an order with answers several times as long would take a third of the pool from higher orders.
+ * A turn passes requests of higher orders that are late already. It passes those that can still meet their objective
+ * only after [LONGEST_WAIT_MILLISECONDS] without a dispatch of the lower order.
  *
  * @property serviceOf expected milliseconds for which a request of an order holds a slot, or null for the average order
  */
 public class OrderTurns(private val serviceOf: (Int?) -> Double) {
     private val earned = TreeMap<Int, Double>()
+    private val dispatchedAtByOrder = HashMap<Int, Long>()
     private var dispatchedAt: Long? = null
 
     /** Records a dispatch of [order] at [now] while requests of the orders [waiting] wait. */
     public fun recordDispatch(order: Int, waiting: Collection<Int>, now: Long) {
         dispatchedAt = now
+        dispatchedAtByOrder.keys.retainAll(waiting)
+        dispatchedAtByOrder[order] = now
+        waiting.forEach { dispatchedAtByOrder.putIfAbsent(it, now) }
         earned.keys.retainAll(waiting)
         val highest = minOf(order, waiting.minOrNull() ?: return)
         waiting.filter { it > highest }.forEach { earn(it, order) }
@@ -37,10 +43,19 @@
 
     /** The candidates of the order whose turn it is at [now], which are those that can be on time; else empty. */
     public fun candidatesInTurn(candidates: List<WaitingRequest>, now: Long): List<WaitingRequest> {
-        val order = earned.entries.firstOrNull { it.value >= 1 - ROUNDING }?.key ?: return emptyList()
-        return candidates.filter { it.order == order && !it.hasAnswerBegun && it.latestSendAt >= now }
+        val onTime = candidates.filter { !it.hasAnswerBegun && it.latestSendAt >= now }
+        val highestOnTime = onTime.minOfOrNull { it.order } ?: return emptyList()
+        val order = earned.keys.firstOrNull { order ->
+            earned.getValue(order) >= 1 - ROUNDING &&
+                (order <= highestOnTime || isOverdue(order, now)) &&
+                onTime.any { it.order == order }
+        }
+        return onTime.filter { it.order == order }
     }
 
+    private fun isOverdue(order: Int, now: Long) =
+        now - (dispatchedAtByOrder[order] ?: now) >= LONGEST_WAIT_MILLISECONDS
+
     /** Records that a request of [order] was sent in its turn. */
     public fun recordTurn(order: Int) {
         earned.computeIfPresent(order) { _, turns -> maxOf(0.0, turns - 1) }
@@ -67,6 +82,9 @@
 
         /** A turn that finds no request on time is kept, but turns do not pile up. */
         private const val MAXIMUM_TURNS = 2.0
+
+        /** Time without a dispatch after which an order counts as starved: no order is starved for seconds. */
+        private const val LONGEST_WAIT_MILLISECONDS = 2_000L
         private const val ROUNDING = 1e-9
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PoolReturns.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PoolReturns.kt
@@ -48,9 +48,8 @@
         now: Long,
     ): Boolean {
         if (request.isRepeated) return now <= request.patienceEndsAt && !isTooLate(request, 0, now)
-        val before = turns.dispatchesBefore(request.order, ahead, aheadOfOrder)
-        return forecast.canDispatchInTime(request, before, now) &&
-            !isTooLate(request, forecast.expectedWait(before, now), now)
+        val wait = forecast.expectedWait(turns.dispatchesBefore(request.order, ahead, aheadOfOrder), now)
+        return now + wait <= request.patienceEndsAt && !isTooLate(request, wait, now)
     }
 
     /** Whether [request], sent after another [wait] ms, would not be answered before its deadline. */
@@ -69,9 +68,9 @@
         val served = slots * MILLISECONDS_PER_SECOND / serviceMilliseconds()
         val before = request.order + 1
         val first = arrivals.expectedBefore(before, SECOND) - rejections.expectedBefore(before, SECOND)
-        rejections.record(request.order)
+        if (!request.isRepeated) rejections.record(request.order)
         val demand = PoolDemand(served, maxOf(0.0, first) * gateways, waiting, gateways)
-        return plan.plan(request.order, demand, latestReturn(request, now))
+        return plan.plan(request.order, demand, latestReturn(request, now), isExpected = !request.isRepeated)
     }
 
     /** Longest useful wait in milliseconds: callers follow a third of their time, and the answer needs some of it. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/ReturnPlan.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/ReturnPlan.kt
@@ -40,12 +40,14 @@
      *
      * @param demand what the pool serves and what is taken before the request
      * @param latest longest time in milliseconds after which the caller can still be served
+     * @param isExpected whether the caller is expected to return, which it does once; if not, nothing is planned
      * @return milliseconds after which the caller should return: when the pool is expected to have capacity for it, or
      * about [latest] if it has none before
      */
-    public fun plan(order: Int, demand: PoolDemand, latest: Long): Long {
+    public fun plan(order: Int, demand: PoolDemand, latest: Long, isExpected: Boolean = true): Long {
         val now = clock.monotonicMilliseconds()
         val delay = firstDelay(order, demand, latest, now) ?: lastDelay(maxOf(0, latest))
+        if (!isExpected) return delay
         val bucket = (now + delay) / BUCKET_MILLISECONDS
         own.getOrPut(order) { Buckets() }.add(bucket, 1)
         unreported.addLast(Planned(now, order, bucket))
