--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -197,16 +197,9 @@
     }
 
     private fun queueFull(pool: PoolDispatcher, waitingRequest: (PoolDispatcher) -> WaitingRequest): Refusal {
-        val planned = pool.planReturnOfRefused { waitingRequest(pool) }
-        return Refusal.unavailable("queue-full").let {
-            if (planned ==
-                null
-            ) {
-                it
-            } else {
-                it.copy(retryAfterMilliseconds = planned)
-            }
-        }
+        val refusal = Refusal.unavailable("queue-full")
+        val planned = pool.planReturnOfRefused { waitingRequest(pool) } ?: return refusal
+        return refusal.copy(retryAfterMilliseconds = planned)
     }
 
     private fun route(
