--- a/cli/src/test/kotlin/org/guavahatch/cli/process/CallerGoneTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/CallerGoneTest.kt
@@ -1,7 +1,6 @@
 package org.guavahatch.cli.process
 
 import org.guavahatch.standins.launch.LocalHttp
-import org.junit.jupiter.api.Tag
 import java.net.Socket
 import kotlin.test.AfterTest
 import kotlin.test.Test
@@ -20,7 +19,6 @@
         Regex("\"running\":(\\d+)").find(load)?.groupValues?.get(1)?.toInt() ?: 0
     }
 
-    @Tag("known-red")
     @Test
     fun `the engine stops when the caller has gone`() {
         val socket = Socket("127.0.0.1", entry.callerPort)
@@ -32,7 +30,6 @@
         assertTrue(awaitTrue(8000) { runningRequests() == 0 }, "the engine still runs the request")
     }
 
-    @Tag("known-red")
     @Test
     fun `the engine stops when the deadline has passed`() {
         val headers = arrayOf("Authorization", "Bearer frost-key-office", "guavahatch-deadline-ms", "3000")
