--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
@@ -34,8 +34,36 @@
         Stratum(slice, target, minOf(targetBad, limit), previous, previousBad, isSimultaneous, previousTotalRate)
 }
 
+/**
+ * What is compared: the required difference, and how long it must persist.
+ *
+ * @property leastEffect least difference of the rates that counts
+ * @property disturbedSlices least number of slices that a short disturbance of endpoints may explain
+ * @property disturbedShare share of the slices that it may explain
+ * @property persistentLogChance natural logarithm of the chance that the difference must reach in the other slices
+ */
+internal enum class Measure(
+    val leastEffect: Double,
+    val disturbedSlices: Int,
+    val disturbedShare: Double,
+    val persistentLogChance: Double,
+) {
+    /**
+     * Callers notice 5 points. A disturbance of less than a second falls into two slices. With few endpoints under
+     * test, two or three of them may follow each other. The rest of one is a few failures among as few answers: 4 of 7
+     * has about exp(-5) when an old version fails at 9 in 100.
+     */
+    FAILURES(leastEffect = 0.05, disturbedSlices = 3, disturbedShare = 1.0 / 3, persistentLogChance = -9.0),
+
+    /**
+     * More points than for failures, as endpoints of one pool differ in speed and load. All answers of a slow version
+     * may be bad, but only some are beyond the bound, so more persistence would exceed the time for a rollback.
+     */
+    SLOWNESS(leastEffect = 0.1, disturbedSlices = 2, disturbedShare = 0.0, persistentLogChance = -4.6),
+}
+
 /** Tests whether bad answers are more frequent at the target version than on the old side, within each of [strata]. */
-internal class RateComparison(strata: List<Stratum>) {
+internal class RateComparison(strata: List<Stratum>, private val measure: Measure) {
     private val strata = strata.filter { it.target > 0 && it.previous > 0 }
     private val answers = this.strata.sumOf { it.target }
     private val bad = this.strata.sumOf { it.targetBad }
@@ -48,52 +76,55 @@
         get() = strata.sumOf { it.target.toDouble() * it.previousBad / it.previous } / answers
 
     /**
-     * Whether the difference is at least [leastEffect] and its chance is below exp([logChance]) for equal versions.
+     * Whether the difference is large enough and its chance is below exp([logChance]) for equal versions.
      *
      * The crash or short disturbance of one endpoint makes many answers bad at once, and only few endpoints of the
      * target version get requests. So with few bad answers the difference must also persist without the slices that
      * have most of them.
      */
-    fun isWorse(leastEffect: Double, logChance: Double): Boolean {
-        if (!isDifferent(leastEffect, logChance)) return false
-        return bad >= URGENT_BAD_ANSWERS || withoutWorstSlices().isDifferent(leastEffect, PERSISTENT_LOG_CHANCE)
+    fun isWorse(logChance: Double): Boolean {
+        if (!isDifferent(logChance)) return false
+        return bad >= URGENT_BAD_ANSWERS || withoutWorstSlices().isDifferent(measure.persistentLogChance)
     }
 
     /**
-     * Whether the target version [isWorse], or would be different with only [DOUBTFUL_BAD_ANSWERS] of the bad answers
-     * of each slice. On a route with little traffic, the slices with most bad answers have nearly all of them.
+     * Whether the target version [isWorse], or would be different with at most [DOUBTFUL_BAD_ANSWERS] bad answers in
+     * each slice, or an eighth of its answers. On a route with little traffic, the slices with most bad answers have nearly all of them.
      */
-    fun isDoubtful(leastEffect: Double, logChance: Double): Boolean =
-        isWorse(leastEffect, logChance) || withCappedSlices().isDifferent(leastEffect, logChance)
+    fun isDoubtful(logChance: Double): Boolean = isWorse(logChance) || withCappedSlices().isDifferent(logChance)
 
     private fun withCappedSlices(): RateComparison {
         val left = HashMap<Int, Long>()
+        strata.forEach { left.merge(it.slice, it.target, Long::plus) }
+        left.replaceAll { _, all -> maxOf(DOUBTFUL_BAD_ANSWERS, all / DOUBTFUL_DIVISOR) }
         return RateComparison(
             strata.map { stratum ->
-                val limit = left.getOrDefault(stratum.slice, DOUBTFUL_BAD_ANSWERS)
+                val limit = left.getValue(stratum.slice)
                 stratum.withBadAtMost(limit).also { left[stratum.slice] = limit - it.targetBad }
             },
+            measure,
         )
     }
 
     private fun withoutWorstSlices(): RateComparison {
         val badBySlice = strata.groupBy { it.slice }.mapValues { (_, list) -> list.sumOf { it.targetBad } }
-        val disturbed = maxOf(DISTURBED_SLICES, ceil(badBySlice.size * DISTURBED_SHARE).toInt())
+        val disturbed = maxOf(measure.disturbedSlices, ceil(badBySlice.size * measure.disturbedShare).toInt())
         val worst = badBySlice.entries.sortedByDescending { it.value }.take(disturbed).map { it.key }
-        return RateComparison(strata.filter { it.slice !in worst })
+        return RateComparison(strata.filter { it.slice !in worst }, measure)
     }
 
-    private fun isDifferent(leastEffect: Double, logChance: Double): Boolean {
-        if (answers == 0L || targetRate - previousRate < requiredEffect(leastEffect)) return false
+    private fun isDifferent(logChance: Double): Boolean {
+        if (answers == 0L || targetRate - previousRate < requiredEffect()) return false
         val groups = strata.map { stratum ->
             Trials(stratum.target.toDouble(), stratum.commonChance)
         }
         return TailProbability.logUpperTail(groups, bad.toDouble()) < logChance
     }
 
-    private fun requiredEffect(leastEffect: Double): Double {
+    private fun requiredEffect(): Double {
         val simultaneous = strata.sumOf { if (it.isSimultaneous) it.target else 0 }
-        return if (simultaneous * 2 >= answers) leastEffect else maxOf(leastEffect, EFFECT_WITHOUT_COMPARISON)
+        val isCompared = simultaneous * 2 >= answers
+        return if (isCompared) measure.leastEffect else maxOf(measure.leastEffect, EFFECT_WITHOUT_COMPARISON)
     }
 
     /** Figures for the log. */
@@ -107,20 +138,10 @@
         /** From the 50th bad answer on, the time allowed for a rollback runs. */
         const val URGENT_BAD_ANSWERS = 50L
 
-        /**
-         * A disturbance of less than a second falls into two slices. With few endpoints under test, two or three such
-         * disturbances may follow each other, so a third of the slices counts as disturbed, and three at least.
-         */
-        const val DISTURBED_SLICES = 3
-        const val DISTURBED_SHARE = 1.0 / 3
-
-        /**
-         * Natural logarithm of 1 in 8,000. The rest of a disturbance is a few failures among as few answers: 4 of 7 has
-         * about exp(-5) when an old version fails at 9 in 100.
-         */
-        const val PERSISTENT_LOG_CHANCE = -9.0
-
         /** Short disturbances of a few endpoints stay below the required effect with this many. */
         const val DOUBTFUL_BAD_ANSWERS = 3L
+
+        /** What a gateway that was cut off hears at once is in one slice, so an eighth of its answers may be bad. */
+        const val DOUBTFUL_DIVISOR = 8L
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutJudge.kt
@@ -45,9 +45,9 @@
         return find(evidence, chance, RateComparison::isDoubtful)
     }
 
-    private fun find(evidence: Evidence, chance: Double, test: (RateComparison, Double, Double) -> Boolean): Finding? {
+    private fun find(evidence: Evidence, chance: Double, test: (RateComparison, Double) -> Boolean): Finding? {
         val logChance = ln(chance / ((evidence.routes.size + 1) * MEASURES * WINDOWS.size))
-        val isFound: Criterion = { leastEffect -> test(this, leastEffect, logChance) }
+        val isFound: Criterion = { test(it, logChance) }
         return findFailures(evidence, isFound)
             ?: Histogram.entries.firstNotNullOfOrNull { findSlowness(evidence, it, isFound) }
     }
@@ -56,7 +56,7 @@
         val strata = strataOf(evidence) { slice, route ->
             stratum(evidence, slice, route) { it.answers to it.failures + it.lost }
         }
-        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, FAILURE_EFFECT, isFound) }
+        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, Measure.FAILURES, isFound) }
             ?.let { Finding("failures", it) }
     }
 
@@ -68,7 +68,7 @@
         val strata = strataOf(evidence) { slice, route ->
             bounds[route]?.let { slow(evidence, slice, route, histogram, it) }
         }
-        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, SLOWNESS_EFFECT, isFound) }
+        return WINDOWS.firstNotNullOfOrNull { findIn(strata, it, Measure.SLOWNESS, isFound) }
             ?.let { Finding("slow", "$histogram, $it") }
     }
 
@@ -79,14 +79,14 @@
     private fun findIn(
         strata: Map<String, List<Stratum?>>,
         window: Int,
-        leastEffect: Double,
+        measure: Measure,
         isFound: Criterion,
     ): String? {
         val recent = strata.mapValues { it.value.takeLast(window).filterNotNull() }
         val groups = recent.map { (route, list) -> "route $route" to list } + ("all routes" to recent.values.flatten())
         return groups.firstNotNullOfOrNull { (name, list) ->
-            val comparison = RateComparison(list)
-            if (comparison.isFound(leastEffect)) "$name: ${comparison.describe()}" else null
+            val comparison = RateComparison(list, measure)
+            if (isFound(comparison)) "$name: ${comparison.describe()}" else null
         }
     }
 
@@ -128,14 +128,8 @@
 
         /** Numbers of latest slices that are judged together. */
         val WINDOWS = listOf(2, 4, 8, 16, Int.MAX_VALUE)
-
-        /** The least difference that callers notice. */
-        const val FAILURE_EFFECT = 0.05
-
-        /** Larger than for failures, as endpoints of one pool differ in speed and load. */
-        const val SLOWNESS_EFFECT = 0.1
     }
 }
 
-/** Whether a comparison is a finding if bad answers must be more frequent by the given effect. */
-private typealias Criterion = RateComparison.(Double) -> Boolean
+/** Whether a comparison is a finding. */
+private typealias Criterion = (RateComparison) -> Boolean
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/RateComparisonTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/RateComparisonTest.kt
@@ -25,7 +25,7 @@
             """,
             listOf(0.04, 0.066, 0.088),
         )
-        assertEquals(false, RateComparison(disturbed).isWorse(EFFECT, LOG_CHANCE_OF_A_LOOK))
+        assertEquals(false, RateComparison(disturbed, Measure.FAILURES).isWorse(LOG_CHANCE_OF_A_LOOK))
     }
 
     @Test
@@ -34,14 +34,13 @@
             "3/9 0/54\n0/4 0/54\n1/2 0/42\n1/9 0/60\n2/5 0/52\n0/3 0/50\n0/2 0/44" to true,
             "0/7 0/42\n4/7 0/42\n0/1 0/41\n0/4 0/51\n0/5 0/55\n6/10 0/52\n0/4 0/57\n0/2 0/42\n1/4 0/53" to true,
             "0/24 0/240\n6/24 0/240\n6/24 0/240\n0/24 0/240\n0/24 0/240\n0/24 0/240\n0/24 0/240" to false,
+            "0/24 0/240\n0/24 0/240\n0/2 0/240\n0/2 0/240\n30/130 0/1300" to true,
         ).forEach { (lines, isDoubtful) ->
-            val comparison = RateComparison(strata(lines, listOf(0.0)))
-            assertEquals(isDoubtful, comparison.isDoubtful(EFFECT, LOG_CHANCE_OF_FIRST_DOUBT), lines)
+            val comparison = RateComparison(strata(lines, listOf(0.0)), Measure.FAILURES)
+            assertEquals(isDoubtful, comparison.isDoubtful(LOG_CHANCE_OF_FIRST_DOUBT), lines)
         }
 
     private companion object {
-        const val EFFECT = 0.05
-
         /** Levels of [RolloutJudge] for three routes and an order of 12 s. */
         const val LOG_CHANCE_OF_A_LOOK = -16.5
         const val LOG_CHANCE_OF_FIRST_DOUBT = -5.7
