--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
@@ -11,7 +11,8 @@
 
 /**
  * Orders rollouts while gateways that run as separate processes are killed, frozen and cut off and the store fails, and
- * checks what endpoints and the store observe. Even seeds roll out a good version, odd ones a bad one.
+ * checks what endpoints and the store observe. Each seed orders two versions, one after the other; the bits of the seed
+ * tell which of them are bad.
  *
  * `-Dsoak.rollouts=FIRST-LAST` selects the seeds. Logs are kept under `target/soak`.
  */
@@ -30,12 +31,16 @@
             val folder = Files.createDirectories(Path.of("target", "soak", "rollout-$seed"))
             deployment.configure(1, listOf("key-0"), SoakGateway.ROUTES)
             val endpoints = SoakEndpoints(seed)
-            val isBad = seed % 2 == 1
-            val oldSends = ConcurrentLinkedQueue<Long>()
-            val newSends = ConcurrentLinkedQueue<Long>()
+            val sends = VERSIONS.associateWith { ConcurrentLinkedQueue<Long>() }
+            fun startEndpoints(version: String, isBad: Boolean) = repeat(ENDPOINTS) { index ->
+                deployment.endpoint("$version-$index", version = version) {
+                    sends.getValue(version) += SoakEndpoints.now()
+                    endpoints.serve(this, isFailing = isBad)
+                }
+            }
             repeat(ENDPOINTS) { index ->
                 deployment.endpoint("old-$index") {
-                    oldSends += SoakEndpoints.now()
+                    sends.getValue(VERSIONS.first()) += SoakEndpoints.now()
                     endpoints.serve(this)
                 }
             }
@@ -44,68 +49,79 @@
             val faults = RolloutSoakFaults(deployment, gateways, Random(seed))
             try {
                 val isReady = Deployment.until {
-                    gateways.all {
-                        callers.call("ready", "read", it.settings.callers).status ==
-                            200
-                    }
+                    gateways.all { callers.call("ready", "read", it.settings.callers).status == READY }
                 }
                 check(isReady) { "The gateways do not serve requests." }
                 callers.start()
-                val orderedAt = SoakEndpoints.now()
-                deployment.order("v2", DURATION_SECONDS)
-                repeat(ENDPOINTS) { index ->
-                    deployment.endpoint("new-$index", version = "v2") {
-                        newSends += SoakEndpoints.now()
-                        endpoints.serve(this, isFailing = isBad)
-                    }
+                val outcomes = VERSIONS.drop(1).mapIndexed { index, version ->
+                    val isBad = seed shr index and 1 == 1
+                    val orderedAt = SoakEndpoints.now()
+                    deployment.order(version, DURATION_SECONDS)
+                    startEndpoints(version, isBad)
+                    val endedAt = EndWatch(deployment, version)
+                    faults.injectFor(FAULT_MILLISECONDS)
+                    endedAt.awaitUntil(orderedAt + DURATION_MILLISECONDS + WRITE_MILLISECONDS)
+                    Thread.sleep(AFTER_MILLISECONDS)
+                    Outcome(version, isBad, stateOf(deployment, version), orderedAt, endedAt.milliseconds)
                 }
-                val endedAt = EndWatch(deployment)
-                faults.injectFor(FAULT_MILLISECONDS)
-                endedAt.awaitUntil(orderedAt + DURATION_MILLISECONDS + WRITE_MILLISECONDS)
-                Thread.sleep(AFTER_MILLISECONDS)
                 callers.stop()
-                val outcome = Outcome(isBad, deployment.rolloutState(), endedAt.milliseconds, oldSends, newSends)
-                println("rollout soak seed $seed: $outcome; ${faults.history.joinToString(", ")}")
-                outcome.violations() + SoakInvariants(endpoints, emptyMap()).violations(callers.calls.toList())
+                val states = outcomes.joinToString { "${it.version} ${it.describe(sends)}" }
+                println("rollout soak seed $seed: $states; ${faults.history.joinToString(", ")}")
+                outcomes.flatMap { it.violations(sends) } +
+                    SoakInvariants(endpoints, emptyMap()).violations(callers.calls.toList())
             } finally {
                 callers.stop()
                 gateways.forEach { it.close() }
             }
         }
 
-    /** What endpoints and the store observed of the rollout of a bad or a good version. */
+    /** What endpoints and the store observed of the rollout of a bad or a good [version]. */
     private class Outcome(
+        val version: String,
         private val isBad: Boolean,
         private val state: String?,
+        private val orderedAt: Long,
         private val endedAt: Long?,
-        private val oldSends: Collection<Long>,
-        private val newSends: Collection<Long>,
     ) {
-        private val total = oldSends.size + newSends.size
-
-        fun violations(): List<String> {
+        fun violations(sends: Map<String, Collection<Long>>): List<String> {
             val end = endedAt ?: Long.MAX_VALUE
-            val isExposed = newSends.size > SHARE * total + SLACK
+            val (target, total) = exposure(sends)
             return listOfNotNull(
-                "the state is $state".takeIf { state != if (isBad) "rolled_back" else "completed" },
-                "${newSends.size} of $total sends to a bad version".takeIf { isBad && isExposed },
-                "sends to an old endpoint after the end".takeIf { !isBad && oldSends.any { it > end } },
-                "late sends to a bad version".takeIf { isBad && newSends.any { it - HEARD_MILLISECONDS > end } },
+                "the state of $version is $state".takeIf { state != if (isBad) "rolled_back" else "completed" },
+                "$target of $total sends to the bad $version".takeIf { isBad && target > SHARE * total + SLACK },
+                "late sends to the bad $version".takeIf {
+                    isBad && sends.getValue(version).any { it - HEARD_MILLISECONDS > end }
+                },
+                "sends to endpoints that $version replaced".takeIf {
+                    !isBad && earlierVersions().any { earlier -> sends.getValue(earlier).any { it > end } }
+                },
             )
         }
 
-        override fun toString() = "$state, ${newSends.size} of $total sends to the new version"
+        private fun earlierVersions() = VERSIONS.takeWhile { it != version }
+
+        /** Sends to the version, and to the pool, until the time limit of the order. */
+        private fun exposure(sends: Map<String, Collection<Long>>): Pair<Int, Int> {
+            val counts = sends.mapValues { (_, times) ->
+                times.count { it in orderedAt..orderedAt + DURATION_MILLISECONDS }
+            }
+            return counts.getValue(version) to counts.values.sum()
+        }
+
+        fun describe(sends: Map<String, Collection<Long>>) = exposure(sends).let { (target, total) ->
+            "${if (isBad) "bad" else "good"} $state after ${endedAt?.minus(orderedAt)} ms, $target of $total sends"
+        }
     }
 
-    /** Observes when the store holds the end of the rollout. */
-    private class EndWatch(private val deployment: Deployment) {
+    /** Observes when the store holds the end of the rollout of [version]. */
+    private class EndWatch(private val deployment: Deployment, private val version: String) {
         @Volatile
         var milliseconds: Long? = null
             private set
 
         private val watcher = kotlin.concurrent.thread(isDaemon = true) {
             while (milliseconds == null && !Thread.currentThread().isInterrupted) {
-                if (deployment.rolloutState() in ENDS) milliseconds = SoakEndpoints.now()
+                if (stateOf(deployment, version) in ENDS) milliseconds = SoakEndpoints.now()
                 runCatching { Thread.sleep(1) }.onFailure { Thread.currentThread().interrupt() }
             }
         }
@@ -117,6 +133,13 @@
     }
 
     private companion object {
+        /** State of the rollout to [version] in the store, or null if the state is of another order. */
+        fun stateOf(deployment: Deployment, version: String): String? = deployment.rolloutState()
+            .takeIf { deployment.store.value("status", "rollout/app").orEmpty().contains("\"$version\"") }
+
+        /** The version that runs first, and those that are ordered after it. */
+        val VERSIONS = listOf("v1", "v2", "v3")
+        const val READY = 200
         val ENDS = setOf("completed", "rolled_back")
         const val GATEWAYS = 3
         const val ENDPOINTS = 3
