--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -53,6 +53,7 @@
     private var gateways = 1
     private var knowsPhase = false
     private var unknownSince = startedAt
+    private var uninformedAt = startedAt
     private var peersTrustedFrom = startedAt
     private var recordHeardAt: Long? = null
     private var reviewedAt: Long? = null
@@ -131,6 +132,7 @@
     private fun forgetPhase(now: Long) {
         knowsPhase = false
         unknownSince = now
+        uninformedAt = now
     }
 
     /** Merges [report] of the lifetime [incarnation] of [gateway]. Late and repeated reports have no effect. */
@@ -258,7 +260,10 @@
         if (isNothingToMove) return RolloutTransition(RolloutPhase.COMPLETED, "nothing-to-move", "")
         if (!knowsPhase) return null
         findBad(evidence)?.let { return RolloutTransition(RolloutPhase.ROLLED_BACK, it.reason, it.evidence) }
-        if (isIsolated()) return null
+        if (isIsolated()) {
+            uninformedAt = clock.monotonicMilliseconds()
+            return null
+        }
         return if (phase == RolloutPhase.RUNNING) decideRunning(evidence) else decidePromoting(peersOpenOnPrevious)
     }
 
@@ -274,7 +279,9 @@
         val waited = (elapsed() - times.verdictAfter).toDouble() / (times.endAfter - times.verdictAfter)
         val suspicion = judge.findSuspicion(evidence, waited)
         val figures = "$answers answers of the target" + suspicion?.let { "; ${it.reason}, ${it.evidence}" }.orEmpty()
-        val isGood = answers >= LEAST_ANSWERS && suspicion == null && endpoints.target.isNotEmpty()
+        // A gateway that was cut off or frozen has first to hear what the others saw meanwhile.
+        val isInformed = clock.monotonicMilliseconds() - uninformedAt >= CATCH_UP
+        val isGood = isInformed && answers >= LEAST_ANSWERS && suspicion == null && endpoints.target.isNotEmpty()
         return when {
             elapsed() >= times.endAfter -> RolloutTransition(RolloutPhase.ROLLED_BACK, "time-limit", figures)
             isGood -> RolloutTransition(RolloutPhase.PROMOTING, "good", figures)
@@ -319,6 +326,9 @@
         /** Time in which a record is read and several reports arrive. */
         const val HOLD_BACK = 1_000L
 
+        /** Five reports of each peer; some of them may be lost. */
+        const val CATCH_UP = 1_000L
+
         /** The others find a version bad in the rest of the time allowed for a rollback. */
         const val UNHEARD_SHARE = 0.6
 
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -257,6 +257,18 @@
         assertTrue(promoting.mayUse("r", old))
     }
 
+    @Test
+    fun `a gateway that was cut off promotes only after it has heard the others again`() {
+        val rollout = rollout().apply { record(elapsed = 5_000) }
+        repeat(40) {
+            rollout.recordAnswer(answer(new, AnswerResult.SUCCESS))
+            rollout.recordAnswer(answer(old, AnswerResult.SUCCESS))
+        }
+        assertNull(rollout.pass(4_500, isHeard = false), "cut off")
+        assertNull(rollout.pass(900), "heard for 900 ms")
+        assertEquals(PROMOTING, rollout.pass(300)?.phase)
+    }
+
     @Test
     fun `a gateway that was frozen while promoting sends nothing to the old side for a second`() {
         val rollout = rollout().apply { record(PROMOTING) }
