--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -52,6 +52,7 @@
     public val isClosed: Boolean get() = isRemoved || listed.isLeaving || hasAnnouncedLeaving
 
     private val pace = MovingAverage(PACE_WEIGHT)
+    private val work = MovingAverage(PACE_WEIGHT)
     private val sustainedPace = MovingAverage(SUSTAINED_PACE_WEIGHT)
     private val pauseWhilePrefilling = RecentQuantile(PAUSE_QUANTILE)
     private val tokensPerEvent = RecentQuantile(MEDIAN)
@@ -88,7 +89,8 @@
     /** Records that the endpoint reported [reported] requests at [now], including those of silent gateways. */
     public fun recordReportedRequests(reported: Int, now: Long) {
         reportedOtherRequests = reported - ownRequests
-        reportValidUntil = now + REPORT_VALIDITY_MILLISECONDS
+        val validity = work.value?.toLong() ?: REPORT_VALIDITY_MILLISECONDS
+        reportValidUntil = now + minOf(validity, REPORT_VALIDITY_MILLISECONDS)
     }
 
     /** Prompt tokens of all gateways that are not prefilled yet. */
@@ -97,6 +99,9 @@
     /** Mean milliseconds between stream events, or of an application's response; null before the first sample. */
     public val paceMilliseconds: Double? get() = pace.value
 
+    /** Mean milliseconds of an application's response; null for engines and before the first sample. */
+    public val workMilliseconds: Double? get() = work.value
+
     /** Like [paceMilliseconds], averaged over several seconds; null before the first sample. */
     public val sustainedPaceMilliseconds: Double? get() = sustainedPace.value
 
@@ -137,6 +142,12 @@
         ownPrefillTokens -= unprefilledTokens
     }
 
+    /** Records the duration of an application's response. */
+    public fun recordWork(milliseconds: Double) {
+        work.add(milliseconds)
+        recordPace(milliseconds)
+    }
+
     /** Records the time between two stream events, or the duration of an application's response. */
     public fun recordPace(milliseconds: Double) {
         pace.add(milliseconds)
@@ -181,7 +192,8 @@
 
     /** Records that the endpoint refused a request at [now] because it is full. */
     public fun recordFull(now: Long) {
-        fullUntil = now + FULL_SUSPENSION_MILLISECONDS
+        val untilFreeSlot = work.value?.toLong() ?: FULL_SUSPENSION_MILLISECONDS
+        fullUntil = now + minOf(untilFreeSlot, FULL_SUSPENSION_MILLISECONDS)
     }
 
     /** Records that the endpoint said in a response that it is leaving. */
@@ -223,13 +235,16 @@
         /** Doubled with each consecutive failure, up to 1.6 s, since crashed endpoints are unavailable for longer. */
         const val BASE_SUSPENSION_MILLISECONDS = 100L
 
-        /** A reported number of requests expires after half the duration of a typical request to a model engine. */
+        /**
+         * A reported number of requests expires after half the duration of a typical request to a model engine, or
+         * after the work of an application if that is shorter.
+         */
         const val REPORT_VALIDITY_MILLISECONDS = 500L
 
         /** The list of endpoints usually names the new process within this time. */
         const val REPLACED_SUSPENSION_MILLISECONDS = 1_000L
 
-        /** About the time until one slot of a full batch becomes free. */
+        /** About the time until one slot of a full batch becomes free; shorter at applications with short work. */
         const val FULL_SUSPENSION_MILLISECONDS = 100L
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerTable.kt
@@ -1,5 +1,6 @@
 package org.guavahatch.scheduling.direct
 
+import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.quarantine.QuarantineReport
 import org.guavahatch.scheduling.rollout.RolloutReport
@@ -96,6 +97,12 @@
     /** Latest reports of the peers that are not silent. */
     public fun freshReports(): List<PeerReport> = received.values.filter(::isFresh).map { it.report }
 
+    /** [freshReports] and the milliseconds since each was received. */
+    internal fun freshReportAges(): List<Pair<PeerReport, Long>> {
+        val now = clock.monotonicMilliseconds()
+        return received.values.filter(::isFresh).map { it.report to now - it.receivedAt }
+    }
+
     private fun isFresh(received: ReceivedReport) =
         clock.monotonicMilliseconds() - received.receivedAt <= silenceMilliseconds
 
@@ -128,6 +135,7 @@
  * @property rollouts what the gateway tells of rollouts
  * @property zone zone that the gateway prefers; empty if it prefers none or is of an older release
  * @property returns planned returns by pool, see [ReturnPlan.report], or null if the message does not include them
+ * @property reserved endpoint that the gateway keeps free for a large request, by pool
  */
 public data class PeerReport(
     public val name: String,
@@ -142,6 +150,7 @@
     public val rollouts: List<RolloutReport> = emptyList(),
     public val zone: String = "",
     public val returns: Map<String, Map<Int, List<Int>>>? = null,
+    public val reserved: Map<String, EndpointId> = emptyMap(),
 )
 
 /**
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SlotShares.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/SlotShares.kt
@@ -30,6 +30,21 @@
         endpoint.ownRequestLimit = endpoint.ownRequests + round(endpoint.freeSlotsAt(now) / shares)
     }
 
+    /**
+     * Milliseconds after which the free slots of [endpoints] are to be divided again: those between two reports of a
+     * gateway, or the duration of an application's work if that is shorter. Slots that gateways without waiting
+     * requests have released would stay free for longer otherwise, while others wait without a share.
+     */
+    public fun divisionMilliseconds(endpoints: Collection<EndpointState>, reportIntervalMilliseconds: Long): Long {
+        val work = endpoints.mapNotNull { it.workMilliseconds }.minOrNull() ?: return reportIntervalMilliseconds
+        return minOf(reportIntervalMilliseconds, maxOf(MINIMUM_DIVISION_MILLISECONDS, work.toLong()))
+    }
+
     /** Rounds up or down at random, so that the mean of many results equals [value]. */
     private fun round(value: Double): Int = (value + random.nextDouble()).toInt()
+
+    private companion object {
+        /** Waiting requests are looked at this often, so a shorter interval changes nothing. */
+        const val MINIMUM_DIVISION_MILLISECONDS = 20L
+    }
 }
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/zone/ZoneSimulation.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/zone/ZoneSimulation.kt
@@ -7,9 +7,12 @@
 import org.guavahatch.scheduling.direct.EarliestFirstTokenChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
+import org.guavahatch.scheduling.direct.PeerLoads
 import org.guavahatch.scheduling.direct.PeerReport
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PriorityReserve
+import org.guavahatch.scheduling.direct.RetryAllowance
+import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SlotShares
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingRequest
@@ -21,6 +24,7 @@
  * @property load arriving work by zone and time, as a share of the slots that each zone has at first
  * @property lostZone zone whose endpoints are removed from the list after [START]
  * @property silentZone zone whose gateways exchange no reports with those of other zones
+ * @property rejectsWork whether an endpoint rejects work when it is full, and reports its requests with each answer
  */
 internal class ZoneCase(
     val name: String,
@@ -31,6 +35,7 @@
     val target: Long = 500,
     val lostZone: String? = null,
     val silentZone: String? = null,
+    val rejectsWork: Boolean = false,
     val load: (zone: String, now: Long) -> Double,
 ) {
     /** Work that is answered as a whole within the objective counts as an application without a prompt. */
@@ -50,6 +55,7 @@
     var startedAt: Long? = null
     var endedAt: Long? = null
     var remaining = 0
+    var rejections = 0
 }
 
 private class SimulatedGateway(
@@ -67,21 +73,30 @@
     private val routing =
         if (isZoneAware) ZoneRouting(POOL, zone, peers, chooser, shares, reserve) else null
     private val queue = WaitingQueue()
+    private val allowance = RetryAllowance(clock, RetryLimit(0.2, fixedRetries = 50.0, windowMilliseconds = 10_000))
     private val requests = HashMap<Long, ZoneRequest>()
     val states = listed.associate { it.id to EndpointState(it) }.toMutableMap()
     private var sequence = 0L
     private var dividedFor = Int.MAX_VALUE
+    private var dividedAt = 0L
     var hasChanged = false
 
     private val order: Int get() = queue.highestPriority?.order ?: Int.MAX_VALUE
 
     fun divide(now: Long) {
         dividedFor = order
+        dividedAt = now
         val silentShare = peers.silentCount.toDouble() / peers.gatewayCount
         routing?.divide(states.values, order, now)
             ?: shares.divide(states.values, peers.gatewaysWithWaiting(POOL, order), silentShare, now)
     }
 
+    /** Divides the slots after a report, as often as a gateway does. */
+    fun divideAgain(now: Long) {
+        val interval = shares.divisionMilliseconds(states.values, peers.reportIntervalMilliseconds)
+        if (now - dividedAt >= interval) divide(now)
+    }
+
     fun submit(target: Long, promptTokens: Long, now: Long): ZoneRequest {
         val request = WaitingRequest(
             sequence++, 0, 0, now, now + target, now + PATIENCE, now + PATIENCE, promptTokens, 0,
@@ -89,6 +104,7 @@
         )
         hasChanged = true
         reserve.recordArrival(request.order)
+        allowance.recordRequest()
         queue.add(request)
         if (request.order < dividedFor) divide(now)
         return ZoneRequest(zone, request).also { requests[request.sequence] = it }
@@ -118,12 +134,24 @@
         )
     }
 
-    fun applyReports() {
-        val counts = HashMap<String, Int>()
-        peers.freshReports().forEach { report ->
-            report.load.forEach { (endpoint, load) -> counts.merge(endpoint, load.requests, Int::plus) }
-        }
-        states.values.forEach { it.peerRequests = counts[it.listed.id.value] ?: 0 }
+    fun applyReports() = PeerLoads(peers).apply(states.values)
+
+    /** Number of waiting requests. */
+    val waiting: Int get() = queue.size
+
+    /**
+     * Queues [sent] again, which the endpoint of [state] rejected at [now] with [running] requests, or refuses it if no
+     * retry is left.
+     */
+    fun reject(sent: ZoneRequest, state: EndpointState, running: Int, now: Long) {
+        state.recordReportedRequests(running, now)
+        state.recordFull(now)
+        state.recordEnded(0)
+        sent.request.avoidedEndpoints += state.listed.id
+        sent.rejections++
+        if (!allowance.take(peers.gatewayCount)) return
+        requests[sent.request.sequence] = sent
+        queue.add(sent.request)
     }
 
     /** Sends what can be sent at [now]. */
@@ -174,6 +202,10 @@
     /** All requests. */
     val requests = ArrayList<ZoneRequest>()
 
+    /** Milliseconds for which requests waited, summed, although a slot was free for them somewhere in the pool. */
+    var idleWaitMilliseconds = 0L
+        private set
+
     fun simulate(): ZoneSimulation {
         gateways.forEach { it.peers.setMembers(gateways.map { g -> g.name }.toSet() - it.name) }
         val interval = gateways.first().peers.reportIntervalMilliseconds
@@ -189,15 +221,25 @@
                 if (!gateway.hasChanged && (now + index) % APPLY != 0L) return@forEachIndexed
                 gateway.hasChanged = false
                 gateway.dispatch(now) { request, state ->
+                    val batch = running.getValue(state.listed.id)
+                    if (case.rejectsWork && batch.size >= case.slots) {
+                        return@dispatch gateway.reject(request, state, batch.size, now)
+                    }
                     request.sentTo = state.listed.zone
                     request.remaining = case.service / 2 + random.nextInt(case.service)
-                    running.getValue(state.listed.id) += request to gateway
+                    batch += request to gateway
                 }
             }
+            countIdleWaits()
         }
         return this
     }
 
+    private fun countIdleWaits() {
+        val free = running.values.sumOf { maxOf(0, case.slots - it.size) }
+        idleWaitMilliseconds += minOf(free, gateways.sumOf { it.waiting })
+    }
+
     private fun loseEndpoints() = gateways.forEach { gateway ->
         gateway.states.values.removeAll { it.listed.zone == case.lostZone }
     }
@@ -219,11 +261,12 @@
                 state?.recordReportedRequests(batch.size, now)
             }
             if (--request.remaining > 0) return@forEach
+            if (case.rejectsWork) state?.recordReportedRequests(batch.size, now)
             batch.remove(entry)
             request.endedAt = now
             gateway.hasChanged = true
             state?.recordEnded(0)
-            if (case.promptTokens == 0L) state?.recordPace((now - request.startedAt!!).toDouble())
+            if (case.promptTokens == 0L) state?.recordWork((now - request.startedAt!!).toDouble())
         }
     }
 
@@ -238,7 +281,11 @@
         }
         gateways.forEachIndexed { index, gateway ->
             if ((now + index) % APPLY == 0L) gateway.applyReports()
-            if ((now + index) % interval == 0L) gateway.divide(now)
+            if (!case.rejectsWork) {
+                if ((now + index) % interval == 0L) gateway.divide(now)
+            } else if ((now + index) % APPLY == 0L) {
+                gateway.divideAgain(now)
+            }
         }
     }
 
@@ -251,10 +298,10 @@
         return sent.count { it.sentTo != it.zone } / sent.size.toDouble()
     }
 
-    /** Share of the requests of [zone], late ones at the end of the simulation aside, that met their objective. */
-    fun onTimeShare(zone: String): Double {
+    /** Share of the requests of [zones], late ones at the end of the simulation aside, that met their objective. */
+    fun onTimeShare(vararg zones: String): Double {
         val counted = requests.filter {
-            it.zone == zone && it.request.arrivedAt in ZoneCase.START until ZoneCase.DURATION - 2 * case.target
+            it.zone in zones && it.request.arrivedAt in ZoneCase.START until ZoneCase.DURATION - 2 * case.target
         }
         return counted.count { it.isOnTime() } / counted.size.toDouble()
     }
