--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -4,6 +4,7 @@
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.request.PoolDispatcher
+import org.guavahatch.gateway.request.putTokens
 import org.guavahatch.gateway.settings.GatewaySettings
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ListedEndpoint
@@ -24,6 +25,7 @@
 import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SlotShares
 import org.guavahatch.scheduling.memory.MemoryLimitedChooser
+import org.guavahatch.scheduling.memory.OversizedReservation
 import org.guavahatch.scheduling.quarantine.Quarantine
 import org.guavahatch.scheduling.quarantine.QuarantineReport
 import org.guavahatch.scheduling.rollout.RolloutOrder
@@ -249,6 +251,7 @@
             quarantine = if (detail == ReportDetail.LOAD) QuarantineReport() else quarantine.report(),
             rollouts = if (detail == ReportDetail.LOAD) emptyList() else rollouts.reports(),
             zone = preferredZone.orEmpty(),
+            reserved = pools.values.mapNotNull { pool -> pool.reservedEndpoint?.let { pool.name to it } }.toMap(),
         )
     }
 
@@ -290,9 +293,10 @@
             settings.retries.fixed,
             (settings.retries.windowSeconds * MILLISECONDS_PER_SECOND).toLong(),
         )
-        val chooser = MemoryLimitedChooser(EarliestFirstTokenChooser(random, settings.zone)) {
-            configuration?.poolMemoryTokens?.get(name)
-        }
+        val capacityTokens = { configuration?.poolMemoryTokens?.get(name) }
+        val reservation = OversizedReservation(name, settings.name, peers, capacityTokens)
+        val fastest = EarliestFirstTokenChooser(random, settings.zone)
+        val chooser = MemoryLimitedChooser(fastest, reservation, capacityTokens)
         val allowance = RetryAllowance(clock, limit)
         val pool = PoolDispatcher(
             name,
@@ -308,7 +312,17 @@
             ZoneWaitLimit(settings.zones.waitMillisecondsPerMegabyte),
             shares,
             if (settings.accounts.plannedReturns) PoolReturns(clock, random) else null,
+            reservation,
         )
+        pool.onReserved = { request, endpoint ->
+            log.write("endpoint.reserved") {
+                put("pool", name)
+                put("endpoint", endpoint)
+                put("waited", clock.monotonicMilliseconds() - request.arrivedAt)
+                putTokens(request.promptTokens, request.outputTokens, request.estimatedTokens)
+                put("gateways-heard", peers.freshReports().size + 1)
+            }
+        }
         pool.rollouts = rollouts
         pool.onChange = { listeners.forEach { it() } }
         return pool
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -32,6 +32,7 @@
  * that of the send; null if left out
  * @property rollouts rollouts of the sender
  * @property zone zone that the sender prefers; empty if it prefers none
+ * @property reserved endpoint that the sender keeps free for a large request, by pool
  */
 @Serializable
 internal class PeerDatagram(
@@ -53,6 +54,7 @@
     @CborLabel(16) val rollouts: List<RolloutDatagram> = emptyList(),
     @CborLabel(17) val returns: Map<String, Map<Int, List<Int>>>? = null,
     @CborLabel(18) val zone: String = "",
+    @CborLabel(20) val reserved: Map<String, String> = emptyMap(),
 )
 
 /**
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -17,6 +17,7 @@
 import org.guavahatch.gateway.control.GatewayState
 import org.guavahatch.gateway.control.ReportDetail
 import org.guavahatch.gateway.observation.DecisionLog
+import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
@@ -131,6 +132,7 @@
         rollouts = report.rollouts.map(RolloutDatagram::of),
         zone = report.zone,
         returns = report.returns,
+        reserved = report.reserved.mapValues { (_, endpoint) -> endpoint.value },
     )
 
     private fun read(packet: DatagramPacket) {
@@ -187,6 +189,7 @@
         rollouts = datagram.rollouts.mapNotNull { it.toReport() },
         zone = datagram.zone,
         returns = datagram.returns,
+        reserved = datagram.reserved.mapValues { (_, endpoint) -> EndpointId(endpoint) },
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/Attempt.kt
@@ -274,7 +274,7 @@
         if (status == HttpResponseStatus.OK) {
             noteAnswering()
             request.onAnswered(elapsed(), answerBytes)
-            if (plan.waiting.promptTokens == 0L) endpoint.recordPace(elapsed().toDouble())
+            if (plan.waiting.promptTokens == 0L) endpoint.recordWork(elapsed().toDouble())
         }
         request.onResponse(endpoint, head, bufferedBody)
     }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/DispatchChoice.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/DispatchChoice.kt
@@ -6,6 +6,7 @@
 import org.guavahatch.scheduling.direct.PriorityReserve
 import org.guavahatch.scheduling.direct.RequestQueue
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.memory.OversizedReservation
 import org.guavahatch.scheduling.zone.ZoneChoice
 import org.guavahatch.scheduling.zone.ZoneRouting
 
@@ -17,6 +18,7 @@
  *
  * @property zones null if requests go to any zone
  * @property turns dispatches of lower orders, or null if they have no part of their own
+ * @property reservation keeps an endpoint free for a large request, or null if requests are never too large
  * @property routeOf name of the route of a waiting request
  * @property isSendable whether a waiting request may be sent at a time
  */
@@ -26,6 +28,7 @@
     private val reserve: PriorityReserve,
     private val zones: ZoneRouting?,
     private val turns: OrderTurns?,
+    private val reservation: OversizedReservation?,
     private val routeOf: (WaitingRequest) -> String,
     private val isSendable: (WaitingRequest, Long) -> Boolean,
 ) {
@@ -36,6 +39,7 @@
      * @param slots all slots of the pool
      */
     fun next(candidates: RolloutCandidates, free: Int, slots: Int, now: Long): ZoneChoice? {
+        chooseReserved(candidates, now)?.let { return it }
         val sendable = queue.candidates(now).filter { isSendable(it, now) }
         chooseInTurn(sendable, candidates, now)?.let { return it }
         if (zones != null) return chooseByZone(zones, sendable, candidates, now)
@@ -43,6 +47,13 @@
         return choose(allowed, candidates, now) { it }
     }
 
+    /** Sends a large request to the endpoint that was kept free for it. */
+    private fun chooseReserved(candidates: RolloutCandidates, now: Long): ZoneChoice? {
+        val request = reservation?.request?.takeIf { isSendable(it, now) } ?: return null
+        return candidates.choose(request, routeOf(request), { null }) { reservation.emptyEndpoint(it, now) }
+            ?.let { ZoneChoice(request, it, reason = null) }
+    }
+
     /** Lets a lower order have its small part of the dispatches, in its own zone if zones are preferred. */
     private fun chooseInTurn(requests: List<WaitingRequest>, candidates: RolloutCandidates, now: Long): ZoneChoice? {
         val inTurn = turns?.candidatesInTurn(requests, now) ?: return null
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -11,6 +11,7 @@
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.FairWaitingQueue
+import org.guavahatch.scheduling.direct.PeerLoads
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
 import org.guavahatch.scheduling.direct.PoolReturns
@@ -22,6 +23,7 @@
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.memory.OversizedReservation
 import org.guavahatch.scheduling.zone.ZoneChoice
 import org.guavahatch.scheduling.zone.ZoneRouting
 import org.guavahatch.scheduling.zone.ZoneWaitLimit
@@ -47,6 +49,7 @@
     waitLimit: ZoneWaitLimit = ZoneWaitLimit(),
     private val accounts: AccountShares? = null,
     private val returns: PoolReturns? = null,
+    private val reservation: OversizedReservation? = null,
 ) {
     private val cost = TokenCost()
     private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
@@ -54,7 +57,9 @@
     private val overload = OverloadControl(name, peers, forecast, returns)
     private val reserve = PriorityReserve(name, peers, clock)
     private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve, waitLimit) }
-    private val choice = DispatchChoice(queue, chooser, reserve, zones, returns?.turns, ::routeOf, ::isSendable)
+    private val choice =
+        DispatchChoice(queue, chooser, reserve, zones, returns?.turns, reservation, ::routeOf, ::isSendable)
+    private val peerLoads = PeerLoads(peers)
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
@@ -70,6 +75,12 @@
     /** Rollouts, which limit the sends to some endpoints; null if there are none. */
     var rollouts: RolloutControl? = null
 
+    /** Called with a request and the endpoint that is kept free for it from now on. */
+    var onReserved: (WaitingRequest, EndpointId) -> Unit = { _, _ -> }
+
+    /** The endpoint that is kept free for a large request, or null. */
+    val reservedEndpoint: EndpointId? get() = reservation?.endpoint
+
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
 
@@ -217,24 +228,23 @@
     fun onPeerReports() {
         val now = clock.monotonicMilliseconds()
         if (now - reportsAppliedAt >= RECHECK_MILLISECONDS) {
-            applyReports()
+            peerLoads.apply(endpoints.values)
+            updateReservation(now)
             if (accounts != null) cost.measure(endpoints.values, now)
             reportsAppliedAt = now
         }
-        if (now - slotsDividedAt >= peers.reportIntervalMilliseconds) {
-            divideAllSlots(now)
-        }
+        val divisionMilliseconds = shares.divisionMilliseconds(endpoints.values, peers.reportIntervalMilliseconds)
+        if (now - slotsDividedAt >= divisionMilliseconds) divideAllSlots(now)
         dispatchWaiting()
     }
 
-    private fun applyReports() {
-        val reports = peers.freshReports()
-        endpoints.values.forEach { endpoint ->
-            val loads = reports.mapNotNull { it.load[endpoint.listed.id.value] }
-            endpoint.peerRequests = loads.sumOf { it.requests }
-            endpoint.peerPrefillTokens = loads.sumOf { it.prefillTokens }
-            endpoint.peerTokens = loads.sumOf { it.tokens }
-        }
+    private fun updateReservation(now: Long) {
+        val reservation = reservation ?: return
+        val serving = candidates().serving
+        val endpoints = zones?.ownEndpoints(serving) ?: serving
+        if (!reservation.update(queue.inDispatchOrder(now), endpoints, now)) return
+        onReserved(checkNotNull(reservation.request), checkNotNull(reservation.endpoint))
+        onChange()
     }
 
     /** Adds this gateway's own load on each endpoint to [load]. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/EngineMemory.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/EngineMemory.kt
@@ -21,6 +21,9 @@
         return tokens == 0L || held + tokens <= usableTokens || isEmpty(endpoint)
     }
 
+    /** Whether [request] is larger than the usable memory, so that only an empty endpoint takes it. */
+    public fun isOversized(request: WaitingRequest): Boolean = tokensOf(request) > usableTokens
+
     private fun isEmpty(endpoint: EndpointState) = endpoint.ownRequests == 0 && endpoint.peerRequests == 0
 
     public companion object {
