--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -4,6 +4,7 @@
 import org.guavahatch.gateway.endpoint.EndpointConnector
 import org.guavahatch.gateway.observation.DecisionLog
 import org.guavahatch.gateway.request.PoolDispatcher
+import org.guavahatch.gateway.request.putTokens
 import org.guavahatch.gateway.settings.GatewaySettings
 import org.guavahatch.model.forwarding.ForwardingConfiguration
 import org.guavahatch.model.forwarding.ListedEndpoint
@@ -25,6 +26,7 @@
 import org.guavahatch.scheduling.direct.RetryLimit
 import org.guavahatch.scheduling.direct.SlotShares
 import org.guavahatch.scheduling.memory.MemoryLimitedChooser
+import org.guavahatch.scheduling.memory.OversizedReservation
 import org.guavahatch.scheduling.quarantine.Quarantine
 import org.guavahatch.scheduling.quarantine.QuarantineReport
 import org.guavahatch.scheduling.rollout.RolloutOrder
@@ -254,6 +256,7 @@
             rollouts = if (detail == ReportDetail.LOAD) emptyList() else rollouts.reports(),
             zone = preferredZone.orEmpty(),
             relay = relayReport(),
+            reserved = pools.values.mapNotNull { pool -> pool.reservedEndpoint?.let { pool.name to it } }.toMap(),
         )
     }
 
@@ -295,9 +298,10 @@
             settings.retries.fixed,
             (settings.retries.windowSeconds * MILLISECONDS_PER_SECOND).toLong(),
         )
-        val chooser = MemoryLimitedChooser(EarliestFirstTokenChooser(random, settings.zone)) {
-            configuration?.poolMemoryTokens?.get(name)
-        }
+        val capacityTokens = { configuration?.poolMemoryTokens?.get(name) }
+        val reservation = OversizedReservation(name, settings.name, peers, capacityTokens)
+        val fastest = EarliestFirstTokenChooser(random, settings.zone)
+        val chooser = MemoryLimitedChooser(fastest, reservation, capacityTokens)
         val allowance = RetryAllowance(clock, limit)
         val pool = PoolDispatcher(
             name,
@@ -313,7 +317,17 @@
             ZoneWaitLimit(settings.zones.waitMillisecondsPerMegabyte),
             shares,
             if (settings.accounts.plannedReturns) PoolReturns(clock, random) else null,
+            reservation,
         )
+        pool.onReserved = { request, endpoint ->
+            log.write("endpoint.reserved") {
+                put("pool", name)
+                put("endpoint", endpoint)
+                put("waited", clock.monotonicMilliseconds() - request.arrivedAt)
+                putTokens(request.promptTokens, request.outputTokens, request.estimatedTokens)
+                put("gateways-heard", peers.freshReports().size + 1)
+            }
+        }
         pool.rollouts = rollouts
         pool.onChange = { listeners.forEach { it() } }
         return pool
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerDatagram.kt
@@ -35,6 +35,7 @@
  * @property rollouts rollouts of the sender
  * @property zone zone that the sender prefers; empty if it prefers none
  * @property relay what the sender relays of the store; left out if it does not relay
+ * @property reserved endpoint that the sender keeps free for a large request, by pool
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -58,6 +59,7 @@
     @CborLabel(17) val returns: Map<String, Map<Int, List<Int>>>? = null,
     @CborLabel(18) val zone: String = "",
     @EncodeDefault(EncodeDefault.Mode.NEVER) @CborLabel(19) val relay: RelayDatagram? = null,
+    @CborLabel(20) val reserved: Map<String, String> = emptyMap(),
 )
 
 /**
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -17,6 +17,7 @@
 import org.guavahatch.gateway.control.GatewayState
 import org.guavahatch.gateway.control.ReportDetail
 import org.guavahatch.gateway.observation.DecisionLog
+import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
@@ -133,6 +134,7 @@
         zone = report.zone,
         returns = report.returns,
         relay = report.relay?.let { RelayDatagram(it.zone, it.versions) },
+        reserved = report.reserved.mapValues { (_, endpoint) -> endpoint.value },
     )
 
     private fun read(packet: DatagramPacket) {
@@ -190,6 +192,7 @@
         zone = datagram.zone,
         returns = datagram.returns,
         relay = datagram.relay?.let { RelayReport(it.zone, it.versions) },
+        reserved = datagram.reserved.mapValues { (_, endpoint) -> EndpointId(endpoint) },
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
