--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PlannedReturnsLoadTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PlannedReturnsLoadTest.kt
@@ -41,7 +41,7 @@
         val planned = simulate(gateways, scenario, isPlanned = true)
         println("$name, without the plan: ${describe(without)}\n$name, with the plan: ${describe(planned)}")
         without.zip(planned).forEachIndexed { kind, (before, after) ->
-            // Of the highest kind, nearly all are served; what the gateways chose at random decides on the rest.
+            // The restart breaks off what runs, which differs by up to some ten requests of a kind.
             assertTrue(after.served >= before.served * 0.995, "$name: ${after.served} of kind $kind are served")
             assertTrue(after.rejectedTwice <= before.rejectedTwice, "$name: ${after.rejectedTwice} of kind $kind twice")
             assertTrue(after.longestStarved < 2_000, "$name: kind $kind waited ${after.longestStarved} ms")
