--- a/cli/src/test/kotlin/org/guavahatch/cli/process/FrostFleece.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/process/FrostFleece.kt
@@ -26,6 +26,8 @@
             configure()
         }
         deployment = Deployment.start(plan, platform, directory)
+        // The command gives up a call after 5 s, which passed while the other processes started on a busy machine.
+        deployment.awaitStarted()
         val published = deployment.publish(CONFIGURATION)
         check(published.exitCode == 0) { published.output }
         deployment.awaitReady()
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/Deployment.kt
@@ -102,14 +102,31 @@
         publishInstanceList()
     }
 
+    /** Waits until all entry instances and sidecars answer operators; they are ready only with a configuration. */
+    fun awaitStarted() {
+        endpoints.forEach { awaitProcess(it.sidecar) { awaitAnswer(it.adminUrl) } }
+        entries.forEach { awaitProcess(it.process) { awaitAnswer(it.adminUrl) } }
+    }
+
     /** Waits until all processes are ready and each entry instance is connected to all sidecars. */
     fun awaitReady() {
-        (endpoints.map { it.adminUrl } + entries.map { it.adminUrl }).forEach {
-            LocalHttp.awaitOk("$it/ready", START_TIMEOUT_MILLISECONDS)
-        }
+        endpoints.forEach { awaitProcess(it.sidecar) { awaitReady(it.adminUrl) } }
+        entries.forEach { awaitProcess(it.process) { awaitReady(it.adminUrl) } }
         entries.forEach { entry -> awaitConnections(entry) }
     }
 
+    private fun awaitAnswer(adminUrl: String) = LocalHttp.awaitAnswer(adminUrl, START_TIMEOUT_MILLISECONDS)
+
+    private fun awaitReady(adminUrl: String) = LocalHttp.awaitOk("$adminUrl/ready", START_TIMEOUT_MILLISECONDS)
+
+    /** Adds the end of the log of [process] to the message if [await] fails. */
+    private fun awaitProcess(process: ManagedProcess, await: () -> Unit) = try {
+        await()
+    } catch (exception: IllegalStateException) {
+        val log = Files.readAllLines(directory.resolve("${process.name}.log")).takeLast(LOG_LINES).joinToString("\n")
+        throw IllegalStateException("${process.name}, running: ${process.isRunning}, log:\n$log", exception)
+    }
+
     private fun awaitConnections(entry: RunningEntry) {
         val deadline = System.nanoTime() + START_TIMEOUT_MILLISECONDS * NANOSECONDS_PER_MILLISECOND
         while (endpoints.any { "\"${it.name}\"" !in LocalHttp.get("${entry.adminUrl}/status").body() }) {
@@ -239,6 +256,7 @@
     companion object {
         private const val SHARED_KEY = "a-shared-key-for-stand-ins"
         private const val STOP_TIMEOUT_MILLISECONDS = 30_000L
+        private const val LOG_LINES = 10
         private const val POLL_INTERVAL_MILLISECONDS = 50L
         private const val NANOSECONDS_PER_MILLISECOND = 1_000_000L
 
