--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
@@ -39,7 +39,7 @@
                 }
             }
             repeat(ENDPOINTS) { index ->
-                deployment.endpoint("old-$index") {
+                deployment.endpoint("${VERSIONS.first()}-$index") {
                     sends.getValue(VERSIONS.first()) += SoakEndpoints.now()
                     endpoints.serve(this)
                 }
@@ -62,6 +62,9 @@
                     faults.injectFor(FAULT_MILLISECONDS)
                     endedAt.awaitUntil(orderedAt + DURATION_MILLISECONDS + WRITE_MILLISECONDS)
                     Thread.sleep(AFTER_MILLISECONDS)
+                    // The platform stops the endpoints of a version that was replaced.
+                    val isCompleted = stateOf(deployment, version) == "completed"
+                    if (isCompleted) VERSIONS.take(index + 1).forEach { removeEndpoints(deployment, it) }
                     Outcome(version, isBad, stateOf(deployment, version), orderedAt, endedAt.milliseconds)
                 }
                 callers.stop()
@@ -75,6 +78,9 @@
             }
         }
 
+    private fun removeEndpoints(deployment: Deployment, version: String) =
+        repeat(ENDPOINTS) { deployment.store.put("servers", "$version-$it", null) }
+
     /** What endpoints and the store observed of the rollout of a bad or a good [version]. */
     private class Outcome(
         val version: String,
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
@@ -88,10 +88,12 @@
     }
 
     /**
-     * Whether the target version [isWorse], or would be different with at most [DOUBTFUL_BAD_ANSWERS] bad answers in
-     * each slice, or an eighth of its answers. On a route with little traffic, the slices with most bad answers have nearly all of them.
+     * Whether the target version [isWorse], or its bad answers are too many even if only [DOUBTFUL_BAD_ANSWERS] of each
+     * slice, or an eighth of its answers, are counted. On a route with little traffic, a few slices have nearly all of
+     * them.
      */
-    fun isDoubtful(logChance: Double): Boolean = isWorse(logChance) || withCappedSlices().isDifferent(logChance)
+    fun isDoubtful(logChance: Double): Boolean =
+        isWorse(logChance) || (hasEffect() && withCappedSlices().isUnlikely(logChance))
 
     private fun withCappedSlices(): RateComparison {
         val left = HashMap<Int, Long>()
@@ -113,11 +115,12 @@
         return RateComparison(strata.filter { it.slice !in worst }, measure)
     }
 
-    private fun isDifferent(logChance: Double): Boolean {
-        if (answers == 0L || targetRate - previousRate < requiredEffect()) return false
-        val groups = strata.map { stratum ->
-            Trials(stratum.target.toDouble(), stratum.commonChance)
-        }
+    private fun isDifferent(logChance: Double): Boolean = hasEffect() && isUnlikely(logChance)
+
+    private fun hasEffect() = answers > 0 && targetRate - previousRate >= requiredEffect()
+
+    private fun isUnlikely(logChance: Double): Boolean {
+        val groups = strata.map { Trials(it.target.toDouble(), it.commonChance) }
         return TailProbability.logUpperTail(groups, bad.toDouble()) < logChance
     }
 
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/RateComparisonTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/RateComparisonTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 /** Evidence that seeds of [RolloutSimulationTest] met, and that was judged wrongly. */
 class RateComparisonTest {
@@ -9,8 +10,8 @@
     private fun strata(lines: String, totalRates: List<Double>): List<Stratum> =
         lines.trimIndent().lines().flatMapIndexed { slice, line ->
             line.split(", ").mapIndexed { route, counts ->
-                val (targetBad, target, previousBad, previous) = counts.split('/', ' ').map { it.toLong() }
-                Stratum(slice, target, targetBad, previous, previousBad, isSimultaneous = true, totalRates[route])
+                val (target, previous) = counts.split(' ').map { side -> side.split('/').map { it.toLong() } }
+                Stratum(slice, target[1], target[0], previous[1], previous[0], true, totalRates[route])
             }
         }
 
@@ -40,6 +41,12 @@
             assertEquals(isDoubtful, comparison.isDoubtful(LOG_CHANCE_OF_FIRST_DOUBT), lines)
         }
 
+    @Test
+    fun `a version that fails half of few answers is in doubt, though the old side had none at the same time`() {
+        val strata = listOf(0, 1).map { Stratum(it, 16, 8, 400, 2, isSimultaneous = false, previousTotalRate = 0.005) }
+        assertTrue(RateComparison(strata, Measure.FAILURES).isDoubtful(LOG_CHANCE_OF_FIRST_DOUBT))
+    }
+
     private companion object {
         /** Levels of [RolloutJudge] for three routes and an order of 12 s. */
         const val LOG_CHANCE_OF_A_LOOK = -16.5
