--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/SlotDivision.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/SlotDivision.kt
@@ -27,9 +27,10 @@
     private val highestWaitingOrder: Int get() = queue.highestPriority?.order ?: Int.MAX_VALUE
 
     /** Divides the slots of [added], which is not among the endpoints yet, at [now]. */
-    fun onEndpointAdded(added: EndpointState, now: Long) =
+    fun onEndpointAdded(added: EndpointState, now: Long) {
         // The division between zones depends on the other endpoints.
         divide(if (zones != null) endpoints + added else listOf(added), now)
+    }
 
     /** Divides all slots at [now] if a request of [order] is the first of its priority since the last division. */
     fun onQueued(order: Int, now: Long) {
