--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/Admission.kt
@@ -178,8 +178,10 @@
             raise(Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, ActiveRequest.QUARANTINED, hold))
         }
         val pool = choosePool(route)
-        ensure(state.pool(pool).waitingRequests < settings.maximumWaiting) { Refusal.unavailable("queue-full") }
         val tokens = tokenCount(request)
+        ensure(state.pool(pool).waitingRequests < settings.maximumWaiting) {
+            queueFull(state.pool(pool)) { waitingRequest(request, route, it, account, tokens) }
+        }
         val units = charge(account, tokens, route, state.pool(pool).hasSpareCapacity).bind()
         RequestPlan(
             id,
@@ -194,6 +196,12 @@
         )
     }
 
+    private fun queueFull(pool: PoolDispatcher, waitingRequest: (PoolDispatcher) -> WaitingRequest): Refusal {
+        val refusal = Refusal.unavailable("queue-full")
+        val planned = pool.planReturnOfRefused { waitingRequest(pool) } ?: return refusal
+        return refusal.copy(retryAfterMilliseconds = planned)
+    }
+
     private fun route(
         configuration: ForwardingConfiguration,
         request: CallerRequest,
@@ -253,6 +261,7 @@
         val budget = request.headers.get(headers.timeBudget)?.trim()?.toDoubleOrNull()?.toLong()
         val limit = minOf(budget ?: route.timeoutMilliseconds, route.timeoutMilliseconds)
         val promptTokens = tokens?.prompt ?: 0
+        val answerTokens = tokens?.run { estimated ?: output } ?: 0
         val elapsed = budget?.let { repeated.elapsedMilliseconds(route.name, it) } ?: 0
         return WaitingRequest(
             sequence = sequence++,
@@ -266,7 +275,9 @@
             outputTokens = tokens?.output ?: 0,
             estimatedTokens = tokens?.estimated,
             longestPauseMilliseconds = route.maximumPauseMilliseconds,
-            firstEventMilliseconds = pool.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
+            firstEventMilliseconds = pool.forecasts.firstEvents.expected(promptTokens, route.targetLatencyMilliseconds),
+            transferBytes = request.body.readableBytes() + pool.forecasts.answerBytes(route.name, answerTokens),
+            isRepeated = elapsed > 0,
         )
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/PeerExchange.kt
@@ -17,10 +17,12 @@
 import org.guavahatch.gateway.control.GatewayState
 import org.guavahatch.gateway.control.ReportDetail
 import org.guavahatch.gateway.observation.DecisionLog
+import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountReport
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.PeerReport
+import org.guavahatch.scheduling.direct.RelayReport
 import org.guavahatch.scheduling.quarantine.CrashReport
 import org.guavahatch.scheduling.quarantine.PromptParts
 import org.guavahatch.scheduling.quarantine.Quarantine
@@ -131,6 +133,8 @@
         rollouts = report.rollouts.map(RolloutDatagram::of),
         zone = report.zone,
         returns = report.returns,
+        relay = report.relay?.let { RelayDatagram(it.zone, it.versions) },
+        reserved = report.reserved.mapValues { (_, endpoint) -> endpoint.value },
     )
 
     private fun read(packet: DatagramPacket) {
@@ -187,6 +191,8 @@
         rollouts = datagram.rollouts.mapNotNull { it.toReport() },
         zone = datagram.zone,
         returns = datagram.returns,
+        relay = datagram.relay?.let { RelayReport(it.zone, it.versions) },
+        reserved = datagram.reserved.mapValues { (_, endpoint) -> EndpointId(endpoint) },
     )
 
     private fun quarantineOf(datagram: PeerDatagram) = QuarantineReport(
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/ActiveRequest.kt
@@ -60,6 +60,12 @@
         }
     }
 
+    /** Ends the request because no endpoint took it; if it has not run, its caller returns as planned for the pool. */
+    private fun refuseForReturn(reason: String) {
+        val planned = if (history.isNotRun && !history.hasAnswerBegun) dispatcher.planReturn(plan.waiting) else null
+        refuse(reason, planned ?: RETRY_AFTER_MILLISECONDS)
+    }
+
     /** The endpoint could not be reached; nothing was sent. */
     internal fun onUnreachable(endpoint: EndpointState, reason: String) {
         history.recordUnreachable()
@@ -69,7 +75,7 @@
             put("endpoint", endpoint.listed.id)
             put("reason", reason)
         }
-        if (history.mayTryAnotherEndpoint) requeue() else refuse("unreachable", RETRY_AFTER_MILLISECONDS)
+        if (history.mayTryAnotherEndpoint) requeue() else refuseForReturn("unreachable")
     }
 
     /** Numbers of the connections on which the request was sent. */
@@ -95,7 +101,7 @@
             put("retried", isRetried)
             putTrace(trace, now)
         }
-        if (isRetried) requeue() else refuse("rejected", RETRY_AFTER_MILLISECONDS)
+        if (isRetried) requeue() else refuseForReturn("rejected")
     }
 
     /** The connection to the endpoint failed, or its response cannot be read, before the response was complete. */
@@ -168,7 +174,7 @@
 
     /** The first event of an attempt arrived [milliseconds] after it started. */
     internal fun onFirstEvent(milliseconds: Long) =
-        dispatcher.firstEvents.record(plan.waiting.promptTokens, milliseconds)
+        dispatcher.forecasts.firstEvents.record(plan.waiting.promptTokens, milliseconds)
 
     /** Forwards [event] to the caller; false if the caller already has it. */
     internal fun onEvent(event: StreamEvent, response: HttpResponse): Boolean {
@@ -183,8 +189,8 @@
         return true
     }
 
-    /** An endpoint has answered the request [milliseconds] after it was sent there. */
-    internal fun onAnswered(milliseconds: Long) = dispatcher.recordCompletion(plan, milliseconds)
+    /** An endpoint has answered the request with [bytes] of body [milliseconds] after it was sent there. */
+    internal fun onAnswered(milliseconds: Long, bytes: Long) = dispatcher.recordAnswer(plan, milliseconds, bytes)
 
     /** The stream of the endpoint has ended; [trailer] holds comments after its last event. */
     internal fun onStreamComplete(endpoint: EndpointState, response: HttpResponse, trailer: ByteBuf) {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/request/PoolDispatcher.kt
@@ -7,12 +7,11 @@
 import org.guavahatch.model.identity.EndpointId
 import org.guavahatch.model.time.Clock
 import org.guavahatch.scheduling.direct.AccountShares
-import org.guavahatch.scheduling.direct.CompletionForecast
 import org.guavahatch.scheduling.direct.EndpointChooser
 import org.guavahatch.scheduling.direct.EndpointLoad
 import org.guavahatch.scheduling.direct.EndpointState
 import org.guavahatch.scheduling.direct.FairWaitingQueue
-import org.guavahatch.scheduling.direct.FirstEventForecast
+import org.guavahatch.scheduling.direct.PeerLoads
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.direct.PlannedStop
 import org.guavahatch.scheduling.direct.PoolReturns
@@ -24,52 +23,63 @@
 import org.guavahatch.scheduling.direct.WaitingQueue
 import org.guavahatch.scheduling.direct.WaitingReport
 import org.guavahatch.scheduling.direct.WaitingRequest
+import org.guavahatch.scheduling.memory.OversizedReservation
 import org.guavahatch.scheduling.zone.ZoneChoice
 import org.guavahatch.scheduling.zone.ZoneRouting
+import org.guavahatch.scheduling.zone.ZoneWaitLimit
 import java.util.concurrent.TimeUnit
 
 /**
  * Queues the requests of one endpoint pool and dispatches them to its endpoints.
  *
  * @param preferredZone zone whose endpoints are preferred, or null if requests go to any zone
+ * @param waitLimit limits the wait for the preferred zone
  */
 class PoolDispatcher(
     val name: String,
     private val loop: EventLoop,
     private val clock: Clock,
     private val chooser: EndpointChooser,
-    private val shares: SlotShares,
+    shares: SlotShares,
     private val allowance: RetryAllowance,
     private val peers: PeerTable,
     private val connector: EndpointConnector,
     private val stop: PlannedStop,
     preferredZone: String? = null,
+    waitLimit: ZoneWaitLimit = ZoneWaitLimit(),
     private val accounts: AccountShares? = null,
     private val returns: PoolReturns? = null,
+    private val reservation: OversizedReservation? = null,
 ) {
     private val cost = TokenCost()
     private val queue = accounts?.let { FairWaitingQueue(it, cost) } ?: WaitingQueue()
     private val forecast = QueueForecast()
     private val overload = OverloadControl(name, peers, forecast, returns)
-    private val completions = CompletionForecast()
     private val reserve = PriorityReserve(name, peers, clock)
-    private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve) }
-    private val choice = DispatchChoice(queue, chooser, reserve, zones, returns?.turns, ::routeOf, ::isSendable)
+    private val zones = preferredZone?.let { ZoneRouting(name, it, peers, chooser, shares, reserve, waitLimit) }
+    private val choice =
+        DispatchChoice(queue, chooser, reserve, zones, returns?.turns, reservation, ::routeOf, ::isSendable)
+    private val peerLoads = PeerLoads(peers)
     private val open = LinkedHashSet<ActiveRequest>()
     private val activeRequests = HashMap<Long, ActiveRequest>()
     private val endpoints = LinkedHashMap<EndpointId, EndpointState>()
+    private val division = SlotDivision(name, endpoints.values, queue, peers, shares, zones)
     private var isDispatching = false
     private var isRecheckScheduled = false
     private var reportsAppliedAt = 0L
-    private var slotsDividedAt = 0L
-    private var slotsDividedFor = Int.MAX_VALUE
 
-    /** Expected time from the send of a request to its first event. */
-    val firstEvents: FirstEventForecast = FirstEventForecast()
+    /** Forecasts from recent answers. */
+    val forecasts: PoolForecasts = PoolForecasts()
 
     /** Rollouts, which limit the sends to some endpoints; null if there are none. */
     var rollouts: RolloutControl? = null
 
+    /** Called with a request and the endpoint that is kept free for it from now on. */
+    var onReserved: (WaitingRequest, EndpointId) -> Unit = { _, _ -> }
+
+    /** The endpoint that is kept free for a large request, or null. */
+    val reservedEndpoint: EndpointId? get() = reservation?.endpoint
+
     /** Called when the load of an endpoint or the queue has changed. */
     var onChange: () -> Unit = {}
 
@@ -118,8 +128,7 @@
     fun enqueue(active: ActiveRequest) {
         activeRequests[active.plan.waiting.sequence] = active
         queue.add(active.plan.waiting)
-        // Fewer gateways compete for the slots with a request of higher priority than with those that waited before.
-        if (active.plan.waiting.order < slotsDividedFor) divideAllSlots(clock.monotonicMilliseconds())
+        division.onQueued(active.plan.waiting.order, clock.monotonicMilliseconds())
         dispatchWaiting()
     }
 
@@ -134,15 +143,22 @@
         open.remove(active)
     }
 
-    /** Records that [plan] was answered [milliseconds] after its send. */
-    fun recordCompletion(plan: RequestPlan, milliseconds: Long) {
-        completions.record(plan.route.name, plan.waiting.outputTokens, milliseconds)
-        returns?.recordService(milliseconds)
+    /** Records that [plan] was answered with [bytes] of body [milliseconds] after its send. */
+    fun recordAnswer(plan: RequestPlan, milliseconds: Long, bytes: Long) {
+        forecasts.recordAnswer(plan, milliseconds, bytes)
+        returns?.recordService(plan.waiting.order, milliseconds)
     }
 
     /** Milliseconds after which the caller of the rejected [request] should return, or null without planned returns. */
     fun planReturn(request: WaitingRequest): Long? = overload.plannedReturn(request, queue.size, slots)
 
+    /** As [planReturn], for the [request] of a caller whose request is not queued; made only if returns are planned. */
+    fun planReturnOfRefused(request: () -> WaitingRequest): Long? = returns?.let {
+        val refused = request()
+        it.recordArrival(refused.order)
+        planReturn(refused)
+    }
+
     /** Applies the planned returns that [peer] reports. */
     fun recordPeerReturns(peer: String, planned: Map<Int, List<Int>>) {
         returns?.plan?.recordPeer(peer, planned)
@@ -176,35 +192,8 @@
         dispatchWaiting()
     }
 
-    private fun newState(listed: ListedEndpoint) = EndpointState(listed).also {
-        val now = clock.monotonicMilliseconds()
-        // The division between zones depends on the other endpoints.
-        if (zones !=
-            null
-        ) {
-            zones.divide(endpoints.values + it, highestWaitingOrder, now)
-        } else {
-            divideSlots(listOf(it), now)
-        }
-    }
-
-    private fun divideSlots(states: Collection<EndpointState>, now: Long) {
-        if (zones != null) return zones.divide(states, highestWaitingOrder, now)
-        shares.divide(states, competingGateways(), peers.silentCount.toDouble() / peers.gatewayCount, now)
-    }
-
-    private fun divideAllSlots(now: Long) {
-        divideSlots(endpoints.values, now)
-        slotsDividedAt = now
-        slotsDividedFor = highestWaitingOrder
-    }
-
-    private val highestWaitingOrder: Int get() = queue.highestPriority?.order ?: Int.MAX_VALUE
-
-    private fun competingGateways(): Int {
-        val waiting = queue.highestPriority
-        return peers.gatewaysWithWaiting(name, waiting?.order ?: Int.MAX_VALUE, waiting?.lowestUse?.use)
-    }
+    private fun newState(listed: ListedEndpoint) =
+        EndpointState(listed).also { division.onEndpointAdded(it, clock.monotonicMilliseconds()) }
 
     /** Removes endpoint [id]; no further request is sent to it. */
     fun remove(id: EndpointId) {
@@ -217,24 +206,22 @@
     fun onPeerReports() {
         val now = clock.monotonicMilliseconds()
         if (now - reportsAppliedAt >= RECHECK_MILLISECONDS) {
-            applyReports()
+            peerLoads.apply(endpoints.values)
+            updateReservation(now)
             if (accounts != null) cost.measure(endpoints.values, now)
             reportsAppliedAt = now
         }
-        if (now - slotsDividedAt >= peers.reportIntervalMilliseconds) {
-            divideAllSlots(now)
-        }
+        division.divideIfDue(now)
         dispatchWaiting()
     }
 
-    private fun applyReports() {
-        val reports = peers.freshReports()
-        endpoints.values.forEach { endpoint ->
-            val loads = reports.mapNotNull { it.load[endpoint.listed.id.value] }
-            endpoint.peerRequests = loads.sumOf { it.requests }
-            endpoint.peerPrefillTokens = loads.sumOf { it.prefillTokens }
-            endpoint.peerTokens = loads.sumOf { it.tokens }
-        }
+    private fun updateReservation(now: Long) {
+        val reservation = reservation?.takeIf { it.isNeeded } ?: return
+        val serving = candidates().serving
+        val endpoints = zones?.ownEndpoints(serving) ?: serving
+        if (!reservation.update(queue.inDispatchOrder(now), endpoints, now)) return
+        onReserved(checkNotNull(reservation.request), checkNotNull(reservation.endpoint))
+        onChange()
     }
 
     /** Adds this gateway's own load on each endpoint to [load]. */
@@ -276,7 +263,7 @@
     private fun isTooLateForStop(active: ActiveRequest, now: Long): Boolean {
         if (!stop.isStopping || active.isContinuation) return false
         val route = active.plan.route
-        val expected = completions.expected(route.name, active.plan.waiting.outputTokens)
+        val expected = forecasts.completionMilliseconds(route.name, active.plan.waiting)
         return !stop.allowsSendAt(now, expected ?: (route.timeoutMilliseconds / UNKNOWN_TIMEOUT_DIVISOR))
     }
 
