--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RateComparison.kt
@@ -92,8 +92,13 @@
      * slice, or an eighth of its answers, are counted. On a route with little traffic, a few slices have nearly all of
      * them.
      */
-    fun isDoubtful(logChance: Double): Boolean =
-        isWorse(logChance) || (hasEffect() && withCappedSlices().isUnlikely(logChance))
+    fun isDoubtful(logChance: Double): Boolean {
+        if (isWorse(logChance)) return true
+        val capped = withCappedSlices()
+        // Without simultaneous answers a larger difference is required, which the limited answers cannot show.
+        val hasEffect = if (isCompared()) capped.hasEffect() else hasEffect()
+        return hasEffect && capped.isUnlikely(logChance)
+    }
 
     private fun withCappedSlices(): RateComparison {
         val left = HashMap<Int, Long>()
@@ -124,11 +129,10 @@
         return TailProbability.logUpperTail(groups, bad.toDouble()) < logChance
     }
 
-    private fun requiredEffect(): Double {
-        val simultaneous = strata.sumOf { if (it.isSimultaneous) it.target else 0 }
-        val isCompared = simultaneous * 2 >= answers
-        return if (isCompared) measure.leastEffect else maxOf(measure.leastEffect, EFFECT_WITHOUT_COMPARISON)
-    }
+    private fun requiredEffect(): Double =
+        if (isCompared()) measure.leastEffect else maxOf(measure.leastEffect, EFFECT_WITHOUT_COMPARISON)
+
+    private fun isCompared() = strata.sumOf { if (it.isSimultaneous) it.target else 0 } * 2 >= answers
 
     /** Figures for the log. */
     fun describe(): String =
