--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/EndpointState.kt
@@ -59,6 +59,8 @@
     private val prefillTimePerToken = RecentQuantile(PREFILL_QUANTILE)
     private val failureRate = MovingAverage(FAILURE_WEIGHT)
     private var consecutiveFailures = 0
+    private var consecutiveRefusals = 0
+    private var hasServedPrompts = false
 
     /** Maximum of [ownRequests]; divides the free slots between the gateways. */
     public var ownRequestLimit: Int = Int.MAX_VALUE
@@ -89,7 +91,7 @@
     /** Records that the endpoint reported [reported] requests at [now], including those of silent gateways. */
     public fun recordReportedRequests(reported: Int, now: Long) {
         reportedOtherRequests = reported - ownRequests
-        val validity = work.value?.toLong() ?: REPORT_VALIDITY_MILLISECONDS
+        val validity = workMilliseconds?.toLong() ?: REPORT_VALIDITY_MILLISECONDS
         reportValidUntil = now + minOf(validity, REPORT_VALIDITY_MILLISECONDS)
     }
 
@@ -99,8 +101,12 @@
     /** Mean milliseconds between stream events, or of an application's response; null before the first sample. */
     public val paceMilliseconds: Double? get() = pace.value
 
-    /** Mean milliseconds of an application's response; null for engines and before the first sample. */
-    public val workMilliseconds: Double? get() = work.value
+    /**
+     * Mean milliseconds of an application's response, at least 1; null for engines and before the first sample. An
+     * engine may answer a request without a prompt, too, whose duration says nothing about its other requests.
+     */
+    public val workMilliseconds: Double?
+        get() = if (hasServedPrompts || ownTokens + peerTokens > 0) null else work.value?.coerceAtLeast(1.0)
 
     /** Like [paceMilliseconds], averaged over several seconds; null before the first sample. */
     public val sustainedPaceMilliseconds: Double? get() = sustainedPace.value
@@ -123,6 +129,7 @@
     /** Records that a request with [promptTokens] is sent, which holds [heldTokens] of memory until it ends. */
     public fun recordSent(promptTokens: Long, heldTokens: Long = 0) {
         ownRequests++
+        if (promptTokens > 0) hasServedPrompts = true
         ownTokens += heldTokens
         ownPrefillTokens += promptTokens
     }
@@ -145,6 +152,7 @@
     /** Records the duration of an application's response. */
     public fun recordWork(milliseconds: Double) {
         work.add(milliseconds)
+        consecutiveRefusals = 0
         recordPace(milliseconds)
     }
 
@@ -190,10 +198,15 @@
         suspendedUntil = now + REPLACED_SUSPENSION_MILLISECONDS
     }
 
-    /** Records that the endpoint refused a request at [now] because it is full. */
+    /**
+     * Records that the endpoint refused a request at [now] because it is full. An application with short work is asked
+     * again sooner, but later after each further refusal, since it may be held by longer work.
+     */
     public fun recordFull(now: Long) {
-        val untilFreeSlot = work.value?.toLong() ?: FULL_SUSPENSION_MILLISECONDS
-        fullUntil = now + minOf(untilFreeSlot, FULL_SUSPENSION_MILLISECONDS)
+        val untilFreeSlot = workMilliseconds?.toLong()?.coerceAtLeast(LEAST_FULL_SUSPENSION_MILLISECONDS)
+        val doubled = untilFreeSlot?.let { it shl minOf(consecutiveRefusals, MAXIMUM_DOUBLINGS) }
+        consecutiveRefusals++
+        fullUntil = now + minOf(doubled ?: FULL_SUSPENSION_MILLISECONDS, FULL_SUSPENSION_MILLISECONDS)
     }
 
     /** Records that the endpoint said in a response that it is leaving. */
@@ -246,5 +259,8 @@
 
         /** About the time until one slot of a full batch becomes free; shorter at applications with short work. */
         const val FULL_SUSPENSION_MILLISECONDS = 100L
+
+        /** Waiting requests are looked at this often. */
+        const val LEAST_FULL_SUSPENSION_MILLISECONDS = 20L
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerLoads.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/direct/PeerLoads.kt
@@ -16,9 +16,9 @@
         endpoints.forEach { endpoint ->
             val id = endpoint.listed.id.value
             val loads = reports.mapNotNull { (report, age) -> report.load[id]?.let { it to age } }
-            endpoint.peerRequests = requests(loads, endpoint.workMilliseconds)
             endpoint.peerPrefillTokens = loads.sumOf { (load, _) -> load.prefillTokens }
             endpoint.peerTokens = loads.sumOf { (load, _) -> load.tokens }
+            endpoint.peerRequests = requests(loads, endpoint.workMilliseconds)
         }
     }
 
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/EngineMemory.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/EngineMemory.kt
@@ -24,7 +24,8 @@
     /** Whether [request] is larger than the usable memory, so that only an empty endpoint takes it. */
     public fun isOversized(request: WaitingRequest): Boolean = tokensOf(request) > usableTokens
 
-    private fun isEmpty(endpoint: EndpointState) = endpoint.ownRequests == 0 && endpoint.peerRequests == 0
+    private fun isEmpty(endpoint: EndpointState) =
+        endpoint.ownRequests == 0 && endpoint.peerRequests == 0 && endpoint.ownTokens + endpoint.peerTokens == 0L
 
     public companion object {
         /** The rest is for requests that other gateways send meanwhile and for answers longer than expected. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/OversizedReservation.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/OversizedReservation.kt
@@ -51,7 +51,10 @@
         if (memory == null || request != null || reservedByPeers.isNotEmpty()) return false
         val next = waiting.filter { memory.isOversized(it) && hasWaited(it, now) }
             .minWithOrNull(compareBy({ it.order }, { it.arrivedAt })) ?: return false
-        val emptied = endpoints.filter { it.isUsableAt(now) }
+        val usable = endpoints.filter { it.isUsableAt(now) }
+        // The only endpoint is not kept from requests of a higher order.
+        if (usable.size == 1 && waiting.any { it.order < next.order }) return false
+        val emptied = usable
             .minWithOrNull(compareBy({ it.ownTokens + it.peerTokens }, { it.listed.id.value })) ?: return false
         request = next
         endpoint = emptied.listed.id
