--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/OversizedReservation.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/memory/OversizedReservation.kt
@@ -51,16 +51,22 @@
         if (memory == null || request != null || reservedByPeers.isNotEmpty()) return false
         val next = waiting.filter { memory.isOversized(it) && hasWaited(it, now) }
             .minWithOrNull(compareBy({ it.order }, { it.arrivedAt })) ?: return false
-        val usable = endpoints.filter { it.isUsableAt(now) }
-        // The only endpoint is not kept from requests of a higher order.
-        if (usable.size == 1 && waiting.any { it.order < next.order }) return false
-        val emptied = usable
-            .minWithOrNull(compareBy({ it.ownTokens + it.peerTokens }, { it.listed.id.value })) ?: return false
+        val emptied = endpointFor(next, waiting, endpoints.filter { it.isUsableAt(now) }) ?: return false
         request = next
         endpoint = emptied.listed.id
         return true
     }
 
+    /** The one of the [usable] endpoints to keep free; the only one is not kept from requests of a higher order. */
+    private fun endpointFor(
+        next: WaitingRequest,
+        waiting: Collection<WaitingRequest>,
+        usable: List<EndpointState>,
+    ): EndpointState? {
+        if (usable.size == 1 && waiting.any { it.order < next.order }) return null
+        return usable.minWithOrNull(compareBy({ it.ownTokens + it.peerTokens }, { it.listed.id.value }))
+    }
+
     /** Whether [candidate] may be sent to [endpoint], as far as reservations are concerned. */
     public fun admits(candidate: WaitingRequest, endpoint: EndpointState): Boolean {
         val id = endpoint.listed.id
