--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PlannedReturnsLoadTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/direct/PlannedReturnsLoadTest.kt
@@ -47,6 +47,7 @@
             assertTrue(after.longestStarved < 2_000, "$name: kind $kind waited ${after.longestStarved} ms")
         }
         assertTrue(planned.rejectionsPerServed < without.rejectionsPerServed, "$name: more rejections")
+        assertTrue(planned.sumOf { it.served } >= without.sumOf { it.served }, "$name: fewer served")
     }
 
     private val List<ReturningResult>.rejectionsPerServed: Double
