--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakFaults.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakFaults.kt
@@ -27,6 +27,14 @@
         repairDue(Long.MAX_VALUE)
     }
 
+    /** Kills a gateway and starts it again, at a time at which it must not use endpoints that were stopped meanwhile. */
+    fun restartOne() {
+        val gateway = gateways.random(random)
+        history += "restart ${gateway.name}"
+        gateway.process.kill()
+        gateway.ensureStarted()
+    }
+
     private fun inject(gateway: SoakGateway) = when (random.nextInt(FAULT_KINDS)) {
         0 -> inject("kill ${gateway.name}", { gateway.process.kill() }, gateway::ensureStarted)
         1 -> inject(
--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakTest.kt
@@ -61,6 +61,7 @@
                     val endedAt = EndWatch(deployment, version)
                     faults.injectFor(FAULT_MILLISECONDS)
                     endedAt.awaitUntil(orderedAt + DURATION_MILLISECONDS + WRITE_MILLISECONDS)
+                    faults.restartOne()
                     Thread.sleep(AFTER_MILLISECONDS)
                     // The platform stops the endpoints of a version that was replaced.
                     val isCompleted = stateOf(deployment, version) == "completed"
@@ -93,6 +94,7 @@
             val end = endedAt ?: Long.MAX_VALUE
             val (target, total) = exposure(sends)
             return listOfNotNull(
+                "the end of $version was not written within its time limit".takeIf { endedAt == null },
                 "the state of $version is $state".takeIf { state != if (isBad) "rolled_back" else "completed" },
                 "$target of $total sends to the bad $version".takeIf { isBad && target > SHARE * total + SLACK },
                 "late sends to the bad $version".takeIf {
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -88,7 +88,8 @@
     private fun begin(order: RolloutOrder, settings: RolloutSettings, isAtStart: Boolean) {
         val previous = tracked[order.pool]
         val isContinued = previous?.rollout?.continueWith(order) == true
-        val current = if (isContinued) previous!! else TrackedRollout(newRollout(order, settings, isAtStart))
+        val current =
+            if (isContinued) previous!! else TrackedRollout(newRollout(order, settings, isAtStart), previous == null)
         if (previous != null) current.withdrawn = previous.withdrawnFor(order.targetVersion)
         tracked[order.pool] = current
         current.changedAt = clock.monotonicMilliseconds()
@@ -131,7 +132,11 @@
         val order = current.rollout.order
         // A newer order than the one known here arrives with the feed.
         if (record != null && record.order.revision > order.revision) return
-        if (record == null || record.order.revision < order.revision) return save(current)
+        if (record == null || record.order.revision < order.revision) {
+            // A gateway that has not seen the replaced order learns from its record which versions get nothing more.
+            if (record != null && current.isFirst) withdraw(current, TrackedRollout.withdrawnAfter(record, withdrawn))
+            return save(current)
+        }
         withdraw(current, withdrawn)
         current.rollout.onRecord(record, elapsedMilliseconds)
         if (record.phase >= RolloutPhase.PROMOTING && current.promotionStoredAt == null) {
@@ -141,16 +146,18 @@
         if (!record.phase.isEnd && record.phase != current.rollout.phase) save(current)
     }
 
-    /** A gateway that has not seen the earlier orders learns from the record which versions they tested. */
+    /** A gateway that has not seen the earlier orders learns from the record or a peer which versions they tested. */
     private fun withdraw(current: TrackedRollout, versions: Set<String>) {
-        if (current.withdrawn.containsAll(versions)) return
-        current.withdrawn += versions
+        val added = versions - current.rollout.order.targetVersion
+        if (current.withdrawn.containsAll(added)) return
+        current.withdrawn += added
         current.rollout.updateEndpoints(usable(current))
     }
 
     /** The gateway [name] has sent [reports]. */
     fun onPeerReports(name: String, incarnation: String, reports: List<RolloutReport>) = reports.forEach { report ->
         val current = tracked[report.pool] ?: return@forEach
+        if (report.revision == current.rollout.order.revision) withdraw(current, report.withdrawnVersions)
         current.notePeer(name, report)
         current.rollout.mergePeer(name, incarnation, report)
         if (notePhase(current, "peer")) save(current)
@@ -160,7 +167,7 @@
     fun reports(): List<RolloutReport> {
         val now = clock.monotonicMilliseconds()
         return tracked.values.map { current ->
-            val report = current.rollout.report(openOnPrevious(current))
+            val report = current.rollout.report(openOnPrevious(current)).copy(withdrawnVersions = current.withdrawn)
             val isOver = current.rollout.phase.isEnd && now - current.changedAt >= EVIDENCE_MILLISECONDS
             if (isOver) report.copy(evidence = emptyMap()) else report
         }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
@@ -4,10 +4,15 @@
 import org.guavahatch.scheduling.direct.PeerTable
 import org.guavahatch.scheduling.rollout.PoolRollout
 import org.guavahatch.scheduling.rollout.RolloutPhase
+import org.guavahatch.scheduling.rollout.RolloutRecord
 import org.guavahatch.scheduling.rollout.RolloutReport
 
-/** A rollout of one pool, and what its control keeps beside the decisions. All times are monotonic milliseconds. */
-internal class TrackedRollout(val rollout: PoolRollout) {
+/**
+ * A rollout of one pool, and what its control keeps beside the decisions. All times are monotonic milliseconds.
+ *
+ * @property isFirst whether this gateway has seen no earlier order for the pool since it started
+ */
+internal class TrackedRollout(val rollout: PoolRollout, val isFirst: Boolean = true) {
     /**
      * Versions that earlier orders have tested and that did not complete. They get no request: as part of the old side
      * they would get most of them.
@@ -61,6 +66,10 @@
     }
 
     companion object {
+        /** Versions that an order must not use, if it replaces the rollout of [record] with its [withdrawn] versions. */
+        fun withdrawnAfter(record: RolloutRecord, withdrawn: Set<String>): Set<String> =
+            if (record.phase == RolloutPhase.COMPLETED) emptySet() else withdrawn + record.order.targetVersion
+
         /** Interval at which the record is read until the rollout is over. */
         const val READ_MILLISECONDS = 1_000L
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
@@ -19,6 +19,7 @@
  * @property reason why it is in that phase
  * @property openOnPrevious requests of the sender that are open on endpoints of the old side
  * @property evidence answers that the sender has seen
+ * @property withdrawnVersions versions that earlier orders have tested and that did not complete
  */
 @Serializable
 internal class RolloutDatagram(
@@ -29,13 +30,23 @@
     @CborLabel(5) val reason: String = "",
     @CborLabel(6) val openOnPrevious: Int = 0,
     @CborLabel(7) val evidence: List<ObservedAnswers> = emptyList(),
+    @CborLabel(8) val withdrawnVersions: List<String> = emptyList(),
 ) {
     /** The report, or null if this gateway does not know its phase or its counts are invalid. */
     fun toReport(): RolloutReport? {
         val knownPhase = RolloutPhase.entries.getOrNull(phase) ?: return null
         if (openOnPrevious < 0 || evidence.any { !it.isValid }) return null
         val counts = evidence.associate { EvidenceKey(it.route, it.isTarget) to it.toCounts() }
-        return RolloutReport(pool, targetVersion, revision, knownPhase, reason, openOnPrevious, counts)
+        return RolloutReport(
+            pool,
+            targetVersion,
+            revision,
+            knownPhase,
+            reason,
+            openOnPrevious,
+            counts,
+            withdrawnVersions.toSet(),
+        )
     }
 
     companion object {
@@ -48,6 +59,7 @@
             report.reason,
             report.openOnPrevious,
             report.evidence.map { (key, counts) -> ObservedAnswers.of(key, counts) },
+            report.withdrawnVersions.sorted(),
         )
     }
 }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -8,7 +8,8 @@
  * The decisions of one gateway about one rollout. Not thread-safe; all calls come from the event loop.
  *
  * Until [onRecord] or [mergePeer] has told the phase of this order, and again after a clock gap, no request goes to the
- * target version. The gateway that creates the record calls [onRecord] with it.
+ * target version; after a restart or a clock gap none goes to the old side either, for a second at most. The gateway
+ * that creates the record calls [onRecord] with it.
  *
  * @param order the order to carry out
  * @property limits limits on the exposure of the target version
@@ -53,6 +54,7 @@
     private var gateways = 1
     private var knowsPhase = false
     private var unknownSince = startedAt
+    private var mayHaveMissedEnd = isRecentlyStarted
     private var uninformedAt = startedAt
     private var peersTrustedFrom = startedAt
     private var recordHeardAt: Long? = null
@@ -78,6 +80,7 @@
         recordHeardAt = null
         peers.clear()
         forgetPhase(startedAt)
+        mayHaveMissedEnd = false
         enter(RolloutPhase.RUNNING, "")
         return true
     }
@@ -124,6 +127,7 @@
     public fun onClockGap() {
         val now = clock.monotonicMilliseconds()
         forgetPhase(now)
+        mayHaveMissedEnd = true
         // Datagrams that arrived before the gap ended are handled first.
         peersTrustedFrom = now + REPORT_INTERVAL
         reviewedAt = now
@@ -169,7 +173,7 @@
      * excludes what was stopped or withdrawn: the replaced versions of a completed rollout, the target of another.
      */
     public fun mayUse(route: String, endpoint: ListedEndpoint): Boolean = when (phase) {
-        RolloutPhase.RUNNING -> !isTarget(endpoint) || isNothingToMove || (isCanary(endpoint) && isTargetDue(route))
+        RolloutPhase.RUNNING -> isNothingToMove || mayUseWhileRunning(route, endpoint)
         RolloutPhase.PROMOTING -> mayUseWhilePromoting(endpoint)
         RolloutPhase.COMPLETED -> isTarget(endpoint) || isOfLaterVersion(endpoint)
         RolloutPhase.ROLLED_BACK -> !isTarget(endpoint)
@@ -183,12 +187,18 @@
 
     private fun isCanary(endpoint: ListedEndpoint) = endpoint.id in canaries.canaries(elapsed(), times.verdictAfter)
 
+    private fun mayUseWhileRunning(route: String, endpoint: ListedEndpoint): Boolean =
+        if (isTarget(endpoint)) isCanary(endpoint) && isTargetDue(route) else !(mayHaveMissedEnd && isHeldBack())
+
     private fun mayUseWhilePromoting(endpoint: ListedEndpoint): Boolean {
         if (mayTest()) return isTarget(endpoint) || endpoints.target.isEmpty()
-        // The rollout may have been completed meanwhile, and old endpoints get no request then.
+        return !isTarget(endpoint) && !isHeldBack()
+    }
+
+    /** The rollout may have been completed while this gateway did not run, and old endpoints get no request then. */
+    private fun isHeldBack(): Boolean {
         val sinceUnknown = clock.monotonicMilliseconds() - unknownSince
-        val isHeldBack = hasMissedReviews() || (!knowsPhase && sinceUnknown <= HOLD_BACK)
-        return !isTarget(endpoint) && !isHeldBack
+        return hasMissedReviews() || (!knowsPhase && sinceUnknown <= HOLD_BACK)
     }
 
     /** Whether what this gateway knows of the rollout is recent enough to send requests to the target version. */
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutReport.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutReport.kt
@@ -10,6 +10,7 @@
  * @property reason why it is in that phase; empty while it runs
  * @property openOnPrevious requests of the sender that are open on endpoints of the old side
  * @property evidence answers that the sender itself has seen
+ * @property withdrawnVersions versions that earlier orders have tested and that did not complete
  */
 public data class RolloutReport(
     public val pool: String,
@@ -19,4 +20,5 @@
     public val reason: String,
     public val openOnPrevious: Int,
     public val evidence: Map<EvidenceKey, EvidenceCounts>,
+    public val withdrawnVersions: Set<String> = emptySet(),
 )
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -281,6 +281,29 @@
         assertTrue(rollout.mayUse("r", old))
     }
 
+    // Guards against requests at endpoints that were stopped while the gateway did not run.
+    @Test
+    fun `a gateway that was restarted or frozen uses the old side once it knows the phase, or after a second`() {
+        fun restarted() = rollout(isRecentlyStarted = true)
+        fun frozen() = rollout().apply {
+            record()
+            review(0)
+            clock.advance(3_000)
+            onClockGap()
+        }
+        listOf(::restarted, ::frozen).forEach { begin ->
+            assertFalse(begin().mayUse("r", old), "phase unknown")
+            assertTrue(begin().apply { record() }.mayUse("r", old), "running")
+            assertFalse(begin().apply { record(COMPLETED) }.mayUse("r", old), "completed")
+            val uninformed = begin()
+            uninformed.pass(900, isHeard = false)
+            assertFalse(uninformed.mayUse("r", old), "after 900 ms")
+            uninformed.pass(300, isHeard = false)
+            assertTrue(uninformed.mayUse("r", old), "after 1,200 ms")
+        }
+        assertTrue(rollout().mayUse("r", old), "a new order")
+    }
+
     @Test
     fun `completion waits for open requests on the old side, up to the time limit`() {
         val rollout = rollout().apply { record(PROMOTING, elapsed = 9_000) }
