--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/PlatformListener.kt
@@ -57,7 +57,7 @@
     /**
      * The store holds [record] as the state of the rollout of [pool], or none if it is null.
      *
-     * @param withdrawn versions that earlier orders have tested and that did not complete
+     * @param withdrawn versions that earlier orders have rolled back or replaced
      * @param elapsedMilliseconds time since the start of the rollout by the store's clock
      */
     fun onRolloutRecord(pool: String, record: RolloutRecord?, withdrawn: Set<String>, elapsedMilliseconds: Long)
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -90,7 +90,7 @@
         val isContinued = previous?.rollout?.continueWith(order) == true
         val current =
             if (isContinued) previous!! else TrackedRollout(newRollout(order, settings, isAtStart), previous == null)
-        if (previous != null) current.withdrawn = previous.withdrawnFor(order.targetVersion)
+        if (previous != null) current.withdrawn = previous.withdrawnFor(order.targetVersion, listedVersions(order.pool))
         tracked[order.pool] = current
         current.changedAt = clock.monotonicMilliseconds()
         current.promotionStoredAt = null
@@ -115,6 +115,9 @@
         scheduleReviews()
     }
 
+    private fun listedVersions(pool: String) =
+        endpoints.values.filter { it.pool == pool }.mapNotNull { it.version }.toSet()
+
     private fun newRollout(order: RolloutOrder, settings: RolloutSettings, isAtStart: Boolean) = PoolRollout(
         order,
         RolloutLimits(settings.exposureShare, settings.exposureSlack, settings.rollbackMilliseconds),
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutStore.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutStore.kt
@@ -11,7 +11,7 @@
      * Writes [record] after a random delay, unless the stored one is of a newer order or at least as final. A failed
      * write is repeated.
      *
-     * @param withdrawn versions that earlier orders have tested and that did not complete
+     * @param withdrawn versions that earlier orders have rolled back or replaced
      */
     fun save(record: RolloutRecord, withdrawn: Set<String>)
 }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
@@ -14,8 +14,8 @@
  */
 internal class TrackedRollout(val rollout: PoolRollout, val isFirst: Boolean = true) {
     /**
-     * Versions that earlier orders have tested and that did not complete. They get no request: as part of the old side
-     * they would get most of them.
+     * Versions that earlier orders have tested and that did not complete, or that a completed one replaced. They get no
+     * request: as part of the old side they would get most of them, though they are bad or stopped.
      */
     var withdrawn: Set<String> = emptySet()
 
@@ -40,9 +40,14 @@
     fun mayUse(route: String, endpoint: ListedEndpoint): Boolean =
         endpoint.version !in withdrawn && rollout.mayUse(route, endpoint)
 
-    /** Versions that an order to [target] must not use, if it replaces this rollout. */
-    fun withdrawnFor(target: String): Set<String> =
-        if (rollout.phase == RolloutPhase.COMPLETED) emptySet() else withdrawn + rollout.order.targetVersion - target
+    /**
+     * Versions that an order to [target] must not use, if it replaces this rollout. Of those that earlier rollouts have
+     * left, only the [listed] ones are kept, as the set would grow with each order.
+     */
+    fun withdrawnFor(target: String, listed: Set<String>): Set<String> {
+        val left = unused(rollout.phase, rollout.order.targetVersion, rollout.previousVersions)
+        return withdrawn.intersect(listed) + left - target
+    }
 
     /** Keeps the last [report] of the gateway [name]. */
     fun notePeer(name: String, report: RolloutReport) {
@@ -68,7 +73,11 @@
     companion object {
         /** Versions that an order must not use, if it replaces the rollout of [record] with its [withdrawn] versions. */
         fun withdrawnAfter(record: RolloutRecord, withdrawn: Set<String>): Set<String> =
-            if (record.phase == RolloutPhase.COMPLETED) emptySet() else withdrawn + record.order.targetVersion
+            withdrawn + unused(record.phase, record.order.targetVersion, record.previousVersions)
+
+        /** Versions that get no request after a rollout that has come to [phase]. */
+        private fun unused(phase: RolloutPhase, target: String, previous: Set<String>): Set<String> =
+            if (phase == RolloutPhase.COMPLETED) previous else setOf(target)
 
         /** Interval at which the record is read until the rollout is over. */
         const val READ_MILLISECONDS = 1_000L
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
@@ -19,7 +19,7 @@
  * @property reason why it is in that phase
  * @property openOnPrevious requests of the sender that are open on endpoints of the old side
  * @property evidence answers that the sender has seen
- * @property withdrawnVersions versions that earlier orders have tested and that did not complete
+ * @property withdrawnVersions versions that earlier orders have rolled back or replaced
  */
 @Serializable
 internal class RolloutDatagram(
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -179,6 +179,10 @@
         RolloutPhase.ROLLED_BACK -> !isTarget(endpoint)
     }
 
+    /** Versions of the old side, as far as they are known here. */
+    public val previousVersions: Set<String>
+        get() = replacedVersions + recordedPrevious.ifEmpty { listedPrevious }
+
     /** Whether [endpoint] has a version that the rollout did not replace: a release without an order came after it. */
     private fun isOfLaterVersion(endpoint: ListedEndpoint): Boolean {
         val version = endpoint.version ?: return false
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutReport.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutReport.kt
@@ -10,7 +10,7 @@
  * @property reason why it is in that phase; empty while it runs
  * @property openOnPrevious requests of the sender that are open on endpoints of the old side
  * @property evidence answers that the sender itself has seen
- * @property withdrawnVersions versions that earlier orders have tested and that did not complete
+ * @property withdrawnVersions versions that earlier orders have rolled back or replaced
  */
 public data class RolloutReport(
     public val pool: String,
--- a/standins/src/main/kotlin/org/guavahatch/standins/launch/PlatformProcess.kt
+++ b/standins/src/main/kotlin/org/guavahatch/standins/launch/PlatformProcess.kt
@@ -42,6 +42,4 @@
 internal const val STAND_IN_MAIN_CLASS = "org.guavahatch.standins.MainKt"
 internal const val DAEMON_MAIN_CLASS = "org.guavahatch.daemon.MainKt"
 internal const val OPERATOR_MAIN_CLASS = "org.guavahatch.cli.MainKt"
-
-/** On a busy machine one of eleven processes that started at once was not ready after 30 s. */
-internal const val START_TIMEOUT_MILLISECONDS = 120_000L
+internal const val START_TIMEOUT_MILLISECONDS = 30_000L
