--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -8,8 +8,9 @@
  * The decisions of one gateway about one rollout. Not thread-safe; all calls come from the event loop.
  *
  * Until [onRecord] or [mergePeer] has told the phase of this order, and again after a clock gap, no request goes to the
- * target version; after a restart or a clock gap none goes to the old side either, for a second at most. The gateway
- * that creates the record calls [onRecord] with it.
+ * target version. None goes to the old side either, for a second at most after a clock gap and for
+ * [RolloutLimits.rollbackMilliseconds] at most after a restart. The gateway that creates the record calls [onRecord]
+ * with it.
  *
  * @param order the order to carry out
  * @property limits limits on the exposure of the target version
@@ -54,6 +55,7 @@
     private var gateways = 1
     private var knowsPhase = false
     private var unknownSince = startedAt
+    private var hasMissedReplacedOrders = isRecentlyStarted
     private var mayHaveMissedEnd = isRecentlyStarted
     private var uninformedAt = startedAt
     private var peersTrustedFrom = startedAt
@@ -115,7 +117,7 @@
         if (record.order.revision > order.revision) return forgetPhase(now)
         startedAt = now - elapsedMilliseconds
         recordHeardAt = now
-        knowsPhase = true
+        notePhaseKnown()
         recordedPrevious = record.previousVersions
         val isAhead = record.phase == RolloutPhase.PROMOTING && phase == RolloutPhase.RUNNING
         if (record.phase != phase && (record.phase.isEnd || isAhead)) enter(record.phase, FROM_RECORD)
@@ -133,6 +135,11 @@
         reviewedAt = now
     }
 
+    private fun notePhaseKnown() {
+        knowsPhase = true
+        hasMissedReplacedOrders = false
+    }
+
     private fun forgetPhase(now: Long) {
         knowsPhase = false
         unknownSince = now
@@ -148,7 +155,7 @@
         if (!isCurrent || report.revision != order.revision || now < peersTrustedFrom) return
         if (report.reason == UNKNOWN_PHASE) return
         peers.record(gateway, report)
-        knowsPhase = true
+        notePhaseKnown()
         // Of two ends that are heard, the first one stays until the record tells which one stands.
         if (!phase.isEnd && report.phase > phase) enter(report.phase, report.reason)
         noteReplacedVersions()
@@ -199,10 +206,15 @@
         return !isTarget(endpoint) && !isHeldBack()
     }
 
-    /** The rollout may have been completed while this gateway did not run, and old endpoints get no request then. */
+    /**
+     * The rollout may have been completed while this gateway did not run, and old endpoints get no request then. After a
+     * restart the old side may also have a version that was rolled back, which must not get requests for longer than a
+     * rollback takes.
+     */
     private fun isHeldBack(): Boolean {
         val sinceUnknown = clock.monotonicMilliseconds() - unknownSince
-        return hasMissedReviews() || (!knowsPhase && sinceUnknown <= HOLD_BACK)
+        val longest = if (hasMissedReplacedOrders) limits.rollbackMilliseconds else HOLD_BACK
+        return hasMissedReviews() || (!knowsPhase && sinceUnknown <= longest)
     }
 
     /** Whether what this gateway knows of the rollout is recent enough to send requests to the target version. */
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -281,9 +281,9 @@
         assertTrue(rollout.mayUse("r", old))
     }
 
-    // Guards against requests at endpoints that were stopped while the gateway did not run.
+    // Guards against requests at endpoints that were stopped or rolled back while the gateway did not run.
     @Test
-    fun `a gateway that was restarted or frozen uses the old side once it knows the phase, or after a second`() {
+    fun `a gateway that was restarted or frozen uses the old side once it knows the phase, or after some time`() {
         fun restarted() = rollout(isRecentlyStarted = true)
         fun frozen() = rollout().apply {
             record()
@@ -291,15 +291,15 @@
             clock.advance(3_000)
             onClockGap()
         }
-        listOf(::restarted, ::frozen).forEach { begin ->
+        listOf(::restarted to 5_000L, ::frozen to 1_000L).forEach { (begin, limit) ->
             assertFalse(begin().mayUse("r", old), "phase unknown")
             assertTrue(begin().apply { record() }.mayUse("r", old), "running")
             assertFalse(begin().apply { record(COMPLETED) }.mayUse("r", old), "completed")
             val uninformed = begin()
-            uninformed.pass(900, isHeard = false)
-            assertFalse(uninformed.mayUse("r", old), "after 900 ms")
+            uninformed.pass(limit - 100, isHeard = false)
+            assertFalse(uninformed.mayUse("r", old), "100 ms before $limit ms")
             uninformed.pass(300, isHeard = false)
-            assertTrue(uninformed.mayUse("r", old), "after 1,200 ms")
+            assertTrue(uninformed.mayUse("r", old), "200 ms after $limit ms")
         }
         assertTrue(rollout().mayUse("r", old), "a new order")
     }
