--- a/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakFaults.kt
+++ b/cli/src/test/kotlin/org/guavahatch/cli/soak/RolloutSoakFaults.kt
@@ -27,7 +27,7 @@
         repairDue(Long.MAX_VALUE)
     }
 
-    /** Kills a gateway and starts it again, at a time at which it must not use endpoints that were stopped meanwhile. */
+    /** Kills a gateway and starts it again. It must not use endpoints that were stopped meanwhile. */
     fun restartOne() {
         val gateway = gateways.random(random)
         history += "restart ${gateway.name}"
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/GatewayState.kt
@@ -85,7 +85,8 @@
     }
 
     /** Rollouts of versions. */
-    val rollouts: RolloutControl = RolloutControl(settings.rollouts, loop, clock, random, log, peers) { clockGaps }
+    val rollouts: RolloutControl =
+        RolloutControl(settings.rollouts, loop, clock, random, log, peers, incarnation) { clockGaps }
 
     /** What this gateway tells its peers of the store that it relays, or null if it does not relay. */
     var relayReport: () -> RelayReport? = { null }
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/RolloutControl.kt
@@ -23,6 +23,7 @@
  * and, as reports, to the peers. All calls must come on the event loop's thread.
  *
  * @property settings limits of rollouts; null if rollouts are not carried out
+ * @property incarnation identifier of this run of the gateway
  * @property clockGaps number of gaps seen in the clock
  */
 class RolloutControl(
@@ -32,6 +33,7 @@
     private val random: Random,
     private val log: DecisionLog,
     private val peers: PeerTable,
+    private val incarnation: String,
     private val clockGaps: () -> Int,
 ) {
     private val tracked = HashMap<String, TrackedRollout>()
@@ -124,6 +126,7 @@
         clock,
         random,
         isAtStart,
+        incarnation,
     )
 
     /**
@@ -172,7 +175,11 @@
         return tracked.values.map { current ->
             val report = current.rollout.report(openOnPrevious(current)).copy(withdrawnVersions = current.withdrawn)
             val isOver = current.rollout.phase.isEnd && now - current.changedAt >= EVIDENCE_MILLISECONDS
-            if (isOver) report.copy(evidence = emptyMap()) else report
+            if (isOver) {
+                report.copy(evidence = emptyMap())
+            } else {
+                report.copy(endedLifetime = current.rollout.nextEndedLifetime())
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/control/TrackedRollout.kt
@@ -71,7 +71,7 @@
     }
 
     companion object {
-        /** Versions that an order must not use, if it replaces the rollout of [record] with its [withdrawn] versions. */
+        /** Versions that an order must not use, if it replaces the rollout of [record] and its [withdrawn] ones. */
         fun withdrawnAfter(record: RolloutRecord, withdrawn: Set<String>): Set<String> =
             withdrawn + unused(record.phase, record.order.targetVersion, record.previousVersions)
 
--- a/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
+++ b/gateway/src/main/kotlin/org/guavahatch/gateway/peer/RolloutDatagram.kt
@@ -6,6 +6,7 @@
 import kotlinx.serialization.cbor.CborLabel
 import org.guavahatch.scheduling.rollout.EvidenceCounts
 import org.guavahatch.scheduling.rollout.EvidenceKey
+import org.guavahatch.scheduling.rollout.LifetimeEvidence
 import org.guavahatch.scheduling.rollout.RolloutPhase
 import org.guavahatch.scheduling.rollout.RolloutReport
 
@@ -20,6 +21,7 @@
  * @property openOnPrevious requests of the sender that are open on endpoints of the old side
  * @property evidence answers that the sender has seen
  * @property withdrawnVersions versions that earlier orders have rolled back or replaced
+ * @property endedLifetime answers seen in an earlier run of a gateway, or null
  */
 @Serializable
 internal class RolloutDatagram(
@@ -31,12 +33,12 @@
     @CborLabel(6) val openOnPrevious: Int = 0,
     @CborLabel(7) val evidence: List<ObservedAnswers> = emptyList(),
     @CborLabel(8) val withdrawnVersions: List<String> = emptyList(),
+    @CborLabel(9) val endedLifetime: EndedLifetime? = null,
 ) {
     /** The report, or null if this gateway does not know its phase or its counts are invalid. */
     fun toReport(): RolloutReport? {
         val knownPhase = RolloutPhase.entries.getOrNull(phase) ?: return null
         if (openOnPrevious < 0 || evidence.any { !it.isValid }) return null
-        val counts = evidence.associate { EvidenceKey(it.route, it.isTarget) to it.toCounts() }
         return RolloutReport(
             pool,
             targetVersion,
@@ -44,8 +46,9 @@
             knownPhase,
             reason,
             openOnPrevious,
-            counts,
+            ObservedAnswers.toEvidence(evidence),
             withdrawnVersions.toSet(),
+            endedLifetime?.toEvidence(),
         )
     }
 
@@ -58,12 +61,33 @@
             report.phase.ordinal,
             report.reason,
             report.openOnPrevious,
-            report.evidence.map { (key, counts) -> ObservedAnswers.of(key, counts) },
+            ObservedAnswers.of(report.evidence),
             report.withdrawnVersions.sorted(),
+            report.endedLifetime?.let { EndedLifetime(it.gateway, it.incarnation, ObservedAnswers.of(it.evidence)) },
         )
     }
 }
 
+/**
+ * Answers that a gateway has seen in an earlier run of its process, in a [RolloutDatagram].
+ *
+ * @property gateway name of the gateway
+ * @property incarnation identifier of the run
+ * @property evidence answers seen in that run
+ */
+@Serializable
+internal class EndedLifetime(
+    @CborLabel(1) val gateway: String,
+    @CborLabel(2) val incarnation: String,
+    @CborLabel(3) val evidence: List<ObservedAnswers> = emptyList(),
+) {
+    /** The evidence, or null if its counts are invalid. */
+    fun toEvidence(): LifetimeEvidence? {
+        if (evidence.any { !it.isValid }) return null
+        return LifetimeEvidence(gateway, incarnation, ObservedAnswers.toEvidence(evidence))
+    }
+}
+
 /**
  * Answers of one route and side in a [RolloutDatagram]. Histograms leave out zeros at their end.
  *
@@ -102,7 +126,13 @@
     companion object {
         private const val COUNTS = 3
 
-        fun of(key: EvidenceKey, counts: EvidenceCounts): ObservedAnswers = ObservedAnswers(
+        fun of(evidence: Map<EvidenceKey, EvidenceCounts>): List<ObservedAnswers> =
+            evidence.map { (key, counts) -> of(key, counts) }
+
+        fun toEvidence(observed: List<ObservedAnswers>): Map<EvidenceKey, EvidenceCounts> =
+            observed.associate { EvidenceKey(it.route, it.isTarget) to it.toCounts() }
+
+        private fun of(key: EvidenceKey, counts: EvidenceCounts): ObservedAnswers = ObservedAnswers(
             key.route,
             key.isTarget,
             listOf(counts.answers, counts.failures, counts.lost),
--- a/gateway/src/test/kotlin/org/guavahatch/gateway/control/TrackedRolloutTest.kt
+++ b/gateway/src/test/kotlin/org/guavahatch/gateway/control/TrackedRolloutTest.kt
@@ -12,7 +12,12 @@
 import kotlin.test.assertEquals
 
 class TrackedRolloutTest {
-    private class OrderCase(val phase: RolloutPhase, val target: String, val listed: Set<String>, vararg val withdrawn: String)
+    private class OrderCase(
+        val phase: RolloutPhase,
+        val target: String,
+        val listed: Set<String>,
+        vararg val withdrawn: String,
+    )
 
     // Guards against requests at endpoints that are bad or stopped, but still listed when the next order arrives.
     @Test
@@ -26,7 +31,7 @@
     ).forEach { case ->
         val order = RolloutOrder("pool", "v2", 12_000, 7)
         val record = RolloutRecord(order, case.phase, setOf("v1"))
-        val rollout = PoolRollout(order, RolloutLimits(0.1, 50, 5_000), ManualClock(0), Random(1), false)
+        val rollout = PoolRollout(order, RolloutLimits(0.1, 50, 5_000), ManualClock(0), Random(1), false, "1")
         val tracked = TrackedRollout(rollout.apply { onRecord(record, 0) }).apply { withdrawn = setOf("v0") }
         val expected = case.withdrawn.toSet()
         assertEquals(expected, tracked.withdrawnFor(case.target, case.listed), "${case.phase}, order of ${case.target}")
@@ -40,7 +45,7 @@
         val peers = PeerTable(clock, silenceMilliseconds = 300).apply { setMembers(setOf("peer")) }
         val order = RolloutOrder("pool", "v2", 12_000, 7)
         val tracked = TrackedRollout(
-            PoolRollout(order, RolloutLimits(0.1, 50, 5_000), clock, Random(1), isRecentlyStarted = false),
+            PoolRollout(order, RolloutLimits(0.1, 50, 5_000), clock, Random(1), isRecentlyStarted = false, "1"),
         )
         tracked.changedAt = clock.monotonicMilliseconds()
         fun openAfter(milliseconds: Long): Int {
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceLedger.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/EvidenceLedger.kt
@@ -3,10 +3,16 @@
 import kotlinx.collections.immutable.toImmutableMap
 import org.guavahatch.model.time.Clock
 
-/** Adds up the answers that this gateway saw and those that its peers reported, by gateway lifetime. */
-internal class EvidenceLedger(private val clock: Clock) {
+/**
+ * Adds up the answers that this gateway saw and those that its peers reported, by gateway lifetime.
+ *
+ * @property ownIncarnation identifier of this run of the gateway
+ */
+internal class EvidenceLedger(private val clock: Clock, private val ownIncarnation: String) {
     private val own = HashMap<EvidenceKey, CountVector>()
     private val reported = HashMap<Lifetime, Map<EvidenceKey, EvidenceCounts>>()
+    private val latestIncarnations = HashMap<String, String>()
+    private var endedTold = 0
     private val told = HashMap<EvidenceKey, EvidenceCounts>()
     private val lostAt = HashMap<String, Long>()
 
@@ -54,6 +60,32 @@
 
     /** Replaces what [lifetime] has reported; returns false if [evidence] is older than that. */
     fun merge(lifetime: Lifetime, evidence: Map<EvidenceKey, EvidenceCounts>): Boolean {
+        latestIncarnations[lifetime.gateway] = lifetime.incarnation
+        return replace(lifetime, evidence)
+    }
+
+    /**
+     * Merges what another gateway has told of an [ended] lifetime. A late report of an earlier run makes that gateway
+     * take the run of this process for an ended one, whose answers must not count twice.
+     */
+    fun mergeEnded(ended: LifetimeEvidence) {
+        if (ended.incarnation == ownIncarnation) return
+        val lifetime = Lifetime(ended.gateway, ended.incarnation)
+        if (lifetime in reported || reported.size < MAXIMUM_LIFETIMES) replace(lifetime, ended.evidence)
+    }
+
+    /**
+     * Returns one of the lifetimes that have ended, in turn, or null. Without them, the evidence would be lost when all
+     * gateways restart one after the other.
+     */
+    fun nextEnded(): LifetimeEvidence? {
+        val ended = reported.filterKeys { latestIncarnations[it.gateway] != it.incarnation }.entries.toList()
+        if (ended.isEmpty()) return null
+        val (lifetime, evidence) = ended[endedTold++.mod(ended.size)]
+        return LifetimeEvidence(lifetime.gateway, lifetime.incarnation, evidence)
+    }
+
+    private fun replace(lifetime: Lifetime, evidence: Map<EvidenceKey, EvidenceCounts>): Boolean {
         if (evidence.size > MAXIMUM_REPORTED_KEYS) return false
         val known = reported[lifetime].orEmpty()
         if (answersOf(evidence) < answersOf(known)) return false
@@ -90,6 +122,9 @@
         /** Routes that are told apart; a limit on memory and on the size of datagrams. */
         const val MAXIMUM_ROUTES = 32
         private const val MAXIMUM_REPORTED_KEYS = 2 * MAXIMUM_ROUTES + 2
+
+        /** Three restarts of each of 340 gateways; a limit on memory. */
+        private const val MAXIMUM_LIFETIMES = 1_020
         private const val OTHER_ROUTES = ""
         private const val LOSS_INTERVAL = 1_000L
     }
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/PoolRollout.kt
@@ -17,6 +17,7 @@
  * @property clock source of monotonic time
  * @property random source of random rounding
  * @property isRecentlyStarted whether the gateway may have run before with the same order; it then gets no slack
+ * @param incarnation identifier of this run of the gateway, unique among all gateways
  */
 public class PoolRollout(
     order: RolloutOrder,
@@ -24,6 +25,7 @@
     private val clock: Clock,
     random: Random,
     private val isRecentlyStarted: Boolean,
+    incarnation: String,
 ) {
     /** The order that is carried out; replaced only by [continueWith]. */
     public var order: RolloutOrder = order
@@ -44,7 +46,7 @@
     private val exposure = ExposureLimit(limits, random, isRecentlyStarted)
     private val endpoints = PoolEndpoints(order.targetVersion)
     private var canaries = CanarySelection(limits.exposureShare, order.revision)
-    private val ledger = EvidenceLedger(clock)
+    private val ledger = EvidenceLedger(clock, incarnation)
     private val slices = EvidenceSlices()
     private val peers = PeerPhases(clock)
     private val firstRevision = order.revision
@@ -146,10 +148,14 @@
         uninformedAt = now
     }
 
+    /** Returns an ended gateway lifetime to tell peers about, each known one in turn, or null. */
+    public fun nextEndedLifetime(): LifetimeEvidence? = ledger.nextEnded()
+
     /** Merges [report] of the lifetime [incarnation] of [gateway]. Late and repeated reports have no effect. */
     public fun mergePeer(gateway: String, incarnation: String, report: RolloutReport) {
         if (report.pool != order.pool || report.targetVersion != order.targetVersion) return
         if (report.revision !in firstRevision..order.revision) return
+        report.endedLifetime?.let(ledger::mergeEnded)
         val isCurrent = ledger.merge(EvidenceLedger.Lifetime(gateway, incarnation), report.evidence)
         val now = clock.monotonicMilliseconds()
         if (!isCurrent || report.revision != order.revision || now < peersTrustedFrom) return
@@ -207,9 +213,9 @@
     }
 
     /**
-     * The rollout may have been completed while this gateway did not run, and old endpoints get no request then. After a
-     * restart the old side may also have a version that was rolled back, which must not get requests for longer than a
-     * rollback takes.
+     * The rollout may have been completed while this gateway did not run, and old endpoints get no request then. After
+     * a restart the old side may also have a version that was rolled back, which must not get requests for longer than
+     * a rollback takes.
      */
     private fun isHeldBack(): Boolean {
         val sinceUnknown = clock.monotonicMilliseconds() - unknownSince
--- a/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutReport.kt
+++ b/scheduling/src/main/kotlin/org/guavahatch/scheduling/rollout/RolloutReport.kt
@@ -11,6 +11,7 @@
  * @property openOnPrevious requests of the sender that are open on endpoints of the old side
  * @property evidence answers that the sender itself has seen
  * @property withdrawnVersions versions that earlier orders have rolled back or replaced
+ * @property endedLifetime answers seen in an earlier run of a gateway, for gateways that have not heard of it, or null
  */
 public data class RolloutReport(
     public val pool: String,
@@ -21,4 +22,5 @@
     public val openOnPrevious: Int,
     public val evidence: Map<EvidenceKey, EvidenceCounts>,
     public val withdrawnVersions: Set<String> = emptySet(),
+    public val endedLifetime: LifetimeEvidence? = null,
 )
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/PoolRolloutTest.kt
@@ -28,7 +28,7 @@
         isRecentlyStarted: Boolean = false,
         listed: List<ListedEndpoint> = listOf(old, new),
         seed: Int = 1,
-    ) = PoolRollout(order, RolloutLimits(0.1, 50, 5_000), clock, Random(seed), isRecentlyStarted).apply {
+    ) = PoolRollout(order, RolloutLimits(0.1, 50, 5_000), clock, Random(seed), isRecentlyStarted, "own").apply {
         updateGateways(5)
         updateEndpoints(listed)
     }
@@ -188,7 +188,7 @@
     @Test
     fun `late reports are stale and a new lifetime adds to the earlier one`() {
         val key = EvidenceKey("r", isTarget = true)
-        val ledger = EvidenceLedger(clock)
+        val ledger = EvidenceLedger(clock, "own")
         fun merge(incarnation: String, answers: Long, failures: Long) = ledger.merge(
             EvidenceLedger.Lifetime("peer", incarnation),
             mapOf(key to EvidenceCounts(answers, failures)),
@@ -200,6 +200,35 @@
         assertEquals(26L to 3L, ledger.total.getValue(key).let { it.answers to it.failures })
     }
 
+    // Guards against verdicts on what is left of the evidence after all gateways have restarted one after the other.
+    @Test
+    fun `the evidence of an ended lifetime is handed on, and counts once`() {
+        val key = EvidenceKey("r", isTarget = true)
+        val peer = EvidenceLedger(clock, "own")
+        val ended = LifetimeEvidence("g", "1", mapOf(key to EvidenceCounts(20, 2)))
+        peer.merge(EvidenceLedger.Lifetime("g", "1"), ended.evidence)
+        assertNull(peer.nextEnded(), "the gateway runs")
+        peer.merge(EvidenceLedger.Lifetime("g", "2"), emptyMap())
+        assertEquals(ended, peer.nextEnded(), "it has restarted")
+        val restarted = EvidenceLedger(clock, "2")
+        repeat(2) { restarted.mergeEnded(ended) }
+        restarted.mergeEnded(LifetimeEvidence("g", "1", mapOf(key to EvidenceCounts(10, 1))))
+        restarted.mergeEnded(LifetimeEvidence("g", "2", mapOf(key to EvidenceCounts(5, 5))))
+        assertEquals(20L to 2L, restarted.total.getValue(key).let { it.answers to it.failures })
+        assertEquals(ended, restarted.nextEnded(), "it hands on what it was told")
+    }
+
+    @Test
+    fun `a gateway that has restarted promotes on the evidence of lifetimes that have ended`() {
+        fun counts(answers: Long) = EvidenceCounts(answers)
+        val evidence = mapOf(EvidenceKey("r", true) to counts(40), EvidenceKey("r", false) to counts(400))
+        listOf(null to null, LifetimeEvidence("g", "1", evidence) to PROMOTING).forEach { (ended, expected) ->
+            val rollout = rollout(isRecentlyStarted = true).apply { record(elapsed = 8_500) }
+            rollout.mergePeer("peer", "1", report().copy(endedLifetime = ended))
+            assertEquals(expected, rollout.pass(2_000)?.phase, "evidence $ended")
+        }
+    }
+
     @Test
     fun `the crash of one endpoint is not evidence against the version but repeated losses are`() =
         listOf(1 to null, 6 to ROLLED_BACK).forEach { (secondsWithLosses, expected) ->
--- a/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/SimulatedRollout.kt
+++ b/scheduling/src/test/kotlin/org/guavahatch/scheduling/rollout/SimulatedRollout.kt
@@ -130,13 +130,13 @@
         }
 
         private fun begin(isRecentlyStarted: Boolean) {
-            val started = PoolRollout(order, LIMITS, clock, random, isRecentlyStarted)
+            incarnation++
+            val started = PoolRollout(order, LIMITS, clock, random, isRecentlyStarted, "$index-$incarnation")
             started.updateGateways(case.gateways)
             started.updateEndpoints(endpoints.map { it.listed })
             rollout = started
             openOnPrevious = 0
             writtenPhase = null
-            incarnation++
             schedule(random.nextLong(WRITE_DELAY)) { read(started) }
             schedule(random.nextLong(REVIEW)) { review(started) }
             schedule(random.nextLong(REPORT)) { report(started) }
@@ -175,11 +175,11 @@
 
         private fun report(mine: PoolRollout) {
             if (rollout !== mine) return
-            val sent = mine.report(openOnPrevious)
-            val run = "$incarnation"
+            val sent = mine.report(openOnPrevious).copy(endedLifetime = mine.nextEndedLifetime())
+            val run = "$index-$incarnation"
             val hearers = gateways.take(case.observers).map { it to sent } +
                 (case.observers until gateways.size).shuffled(random).take(case.observers)
-                    .map { gateways[it] to sent.copy(evidence = emptyMap()) }
+                    .map { gateways[it] to sent.copy(evidence = emptyMap(), endedLifetime = null) }
             hearers.filter { it.first !== this && !isCutOff(index) && !isCutOff(it.first.index) }
                 .filter { random.nextDouble() >= LOSS }
                 .forEach { (peer, told) ->
