--- a/review/standins-2/LongHeader.java
+++ b/review/standins-2/LongHeader.java
@@ -11,7 +11,7 @@
     private static final long LENGTH = 20_000;
     private static final long BEGIN = 5_000;
     private static final long END = 15_000;
-    private static final int SENDERS = 4;
+    private static final int SENDERS = 8;
 
     /** With the other fields the head has less than the 16,384 bytes of {@code max_header_bytes}. */
     private static final int VALUE_BYTES = 15_000;
--- a/review/standins-2/Scene.java
+++ b/review/standins-2/Scene.java
@@ -176,13 +176,23 @@
         long end = now() + 20_000;
         for (Gateway gateway : gateways) {
             while (readiness(gateway) != 200) {
-                if (now() > end) finish(2, gateway.name + " is not ready");
+                if (now() > end) finish(2, gateway.name + " is not ready; " + describe(gateway));
                 sleep(50);
             }
         }
         sleep(1_500);
     }
 
+    private static String describe(Gateway gateway) {
+        String state = gateway.process.isAlive() ? "it runs" : "it ended with " + gateway.process.exitValue();
+        try {
+            List<String> lines = Files.readAllLines(gateway.log);
+            return state + ", last line: " + (lines.isEmpty() ? "none" : lines.get(lines.size() - 1));
+        } catch (IOException exception) {
+            return state + ", no log";
+        }
+    }
+
     static int readiness(Gateway gateway) {
         try (Socket socket = new Socket()) {
             socket.connect(socketAddress(gateway.readiness), 1_000);
