--- a/review/standins-2/Scene.java
+++ b/review/standins-2/Scene.java
@@ -53,6 +53,8 @@
     /** One gateway in a process of its own. */
     static final class Gateway {
         String name;
+        String zone;
+        String storeAddress;
         Process process;
         Path log;
         String callers;
@@ -99,19 +101,30 @@
     Gateway start(String name, String zone, String storeAddress) throws IOException {
         Gateway gateway = new Gateway();
         gateway.name = name;
+        gateway.zone = zone;
+        gateway.storeAddress = storeAddress;
+        gateway.log = temporary.resolve(name + ".log");
+        prepare(gateway);
+        restart(gateway);
+        gateways.add(gateway);
+        return gateway;
+    }
+
+    /** Chooses free ports, and writes the settings with them. */
+    private void prepare(Gateway gateway) throws IOException {
         String port = String.valueOf(freePort());
         gateway.callers = "127.0.0.1:" + freePort();
         gateway.readiness = "127.0.0.1:" + freePort();
         gateway.control = "127.0.0.1:" + port;
         Map<String, String> values = new LinkedHashMap<>(BOUNDS);
-        values.put("node_name", "\"" + name + "\"");
-        values.put("zone", "\"" + zone + "\"");
+        values.put("node_name", "\"" + gateway.name + "\"");
+        values.put("zone", "\"" + gateway.zone + "\"");
         values.put("listen.front", "\"" + gateway.callers + "\"");
         values.put("listen.ready", "\"" + gateway.readiness + "\"");
         values.put("ip", "127.0.0.1");
         values.put("port_range.0", port);
-        values.put("platform.address", "\"" + storeAddress + "\"");
-        Path settings = temporary.resolve(name + ".jsonc");
+        values.put("platform.address", "\"" + gateway.storeAddress + "\"");
+        Path settings = temporary.resolve(gateway.name + ".jsonc");
         Files.writeString(settings, fill(Files.readString(repository.resolve("deploy/settings.jsonc")), values));
         String deploy = Files.readString(repository.resolve("deploy/system.toml"));
         gateway.command = new ArrayList<>();
@@ -120,10 +133,6 @@
         }
         String extra = find(deploy, "GATEWAY_SETTINGS = '(.*)'");
         gateway.environment = Map.of("GATEWAY_SETTINGS", fill(extra, values));
-        gateway.log = temporary.resolve(name + ".log");
-        restart(gateway);
-        gateways.add(gateway);
-        return gateway;
     }
 
     /** Starts the process of {@code gateway} again. */
@@ -164,18 +173,26 @@
             try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
                  java.net.DatagramSocket datagrams =
                      new java.net.DatagramSocket(port, InetAddress.getByName("127.0.0.1"))) {
-                return probe.getLocalPort() == datagrams.getLocalPort() ? port : port;
+                return port;
             } catch (IOException exception) {
                 // The port is in use.
             }
         }
     }
 
-    /** Waits until all gateways are ready; ends the case with 2 if they are not within 20 s. */
-    void awaitReady() {
+    /**
+     * Waits until all gateways are ready; ends the case with 2 if they are not within 20 s. One that ends, as another
+     * program has taken one of its ports meanwhile, is started with others.
+     */
+    void awaitReady() throws IOException {
         long end = now() + 20_000;
         for (Gateway gateway : gateways) {
             while (readiness(gateway) != 200) {
+                if (!gateway.process.isAlive()) {
+                    note(gateway.name + " has ended at its start: " + describe(gateway));
+                    prepare(gateway);
+                    restart(gateway);
+                }
                 if (now() > end) finish(2, gateway.name + " is not ready; " + describe(gateway));
                 sleep(50);
             }
