review: scripts exit with 2 whenever a case could not run

Cause: a failure of the program itself, such as a missing class or file, ended a script with 1, which means that the rule was broken, and SIGTERM with 143.

--- a/review/standins-2/Scene.java
+++ b/review/standins-2/Scene.java
@@ -263,7 +263,12 @@
         endProcesses();
     }
 
-    /** Writes the record and ends the case with {@code code}. */
+    /** Exit codes of this program, so that a failure of its own, which ends it with 1, is none of them. */
+    private static final int BROKEN = 10;
+    private static final int HELD = 11;
+    private static final int NOT_RUN = 2;
+
+    /** Writes the record and ends the case: 1 the rule was broken, 0 it held, 2 the case could not run. */
     void finish(int code, String verdict) {
         note("verdict " + code + ": " + verdict);
         synchronized (this) {
@@ -274,6 +279,6 @@
             }
         }
         System.out.println("exit " + code + ": " + verdict);
-        System.exit(code);
+        System.exit(code == 1 ? BROKEN : code == 0 ? HELD : NOT_RUN);
     }
 }
